--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+GOLANGCI_LINT_VERSION := v2.15.0
+GOFUMPT_VERSION := v0.12.0
+GOLANGCI_LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+GOFUMPT := go run mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
+PROGRAMS := $(notdir $(wildcard cmd/*))
+
+.PHONY: build test fmt lint generate
+
+build: ## Builds all programs into bin/.
+	go build -o bin/ ./cmd/...
+
+test: ## Runs all tests with the race detector.
+	go test -race ./...
+
+fmt: ## Formats the code.
+	$(GOFUMPT) -w .
+
+lint: ## Checks the format and runs the linters.
+	@unformatted="$$($(GOFUMPT) -l .)"; if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+	go vet ./...
+	$(GOLANGCI_LINT) run ./...
+
+generate: ## Regenerates the committed codecs.
+	go generate ./...
--- /dev/null
+++ b/cmd/bramley-dev/main.go
@@ -0,0 +1,4 @@
+// Command bramley-dev runs all roles of a fleet in one process.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/controlapi/api.go
@@ -0,0 +1,142 @@
+// Package controlapi holds the methods and messages that operators and
+// processes exchange over jsonrpc2. Every program that has an address for
+// control serves StatusGet, EventsList and ExplainFlow; bramley-control serves
+// all of them.
+package controlapi
+
+import (
+	"net/netip"
+
+	"bramleyhold.example/bramleyhold/internal/event"
+	"bramleyhold.example/bramleyhold/internal/intent"
+	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/view"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+// The jsonrpc2 methods.
+const (
+	IntentPropose   = "intent.propose"   // ProposeRequest -> intent.Result
+	IntentGet       = "intent.get"       // GetRequest -> intent.State
+	IntentSubscribe = "intent.subscribe" // SubscribeRequest -> IntentUpdate, then notifications
+	IntentUpdated   = "intent.update"    // notification with IntentUpdate
+	IntentHistory   = "intent.history"   // HistoryRequest -> []intent.HistoryRow
+	MembersAnnounce = "members.announce" // view.Member -> AnnounceResponse
+	MembersList     = "members.list"     // no parameters -> []view.Member
+	StatusGet       = "status.get"       // no parameters -> Status
+	EventsList      = "events.list"      // EventsRequest -> []event.Event
+	ExplainFlow     = "explain.flow"     // ExplainRequest -> Explanation
+	ReplicaMessage  = "replica.message"  // messages between control replicas
+)
+
+// The jsonrpc2 error codes of this API.
+const (
+	CodeNotLeader     int64 = 1001 // data: NotLeader; send the request to the leader
+	CodeUnavailable   int64 = 1002 // no quorum within the deadline; the outcome is unknown, retry with the same operation id
+	CodeInvalid       int64 = 1003 // data: finding.List
+	CodeNotAuthorized int64 = 1004 // the certificate does not allow the method
+)
+
+// NotLeader is the data of CodeNotLeader.
+type NotLeader struct {
+	Leader  vm.ID  `json:"leader,omitempty"`
+	Address string `json:"address,omitempty"`
+}
+
+// ProposeRequest asks for a change. With DryRun the answer says what the
+// change would do and nothing is changed.
+type ProposeRequest struct {
+	Change intent.Change `json:"change"`
+	DryRun bool          `json:"dry_run,omitempty"`
+}
+
+// GetRequest asks for the current state. A linearizable read is confirmed by a
+// quorum; otherwise the replica answers with what it has applied.
+type GetRequest struct {
+	Linearizable bool `json:"linearizable,omitempty"`
+}
+
+// SubscribeRequest asks for every revision after the one already applied.
+type SubscribeRequest struct {
+	VM       vm.ID  `json:"vm"`
+	Revision uint64 `json:"revision"`
+}
+
+// IntentUpdate brings a subscriber from one revision to a later one: either
+// the accepted changes in order, or a whole state.
+type IntentUpdate struct {
+	FromRevision uint64          `json:"from_revision"`
+	ToRevision   uint64          `json:"to_revision"`
+	Changes      []intent.Change `json:"changes,omitempty"`
+	Snapshot     *intent.State   `json:"snapshot,omitempty"`
+}
+
+// HistoryRequest asks for the latest rows.
+type HistoryRequest struct {
+	Limit int `json:"limit"`
+}
+
+// AnnounceResponse says whether the inventory allows the announcement.
+type AnnounceResponse struct {
+	Allowed bool   `json:"allowed"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+// Status is the state of one process.
+type Status struct {
+	VM          vm.ID          `json:"vm"`
+	Role        vm.Role        `json:"role"`
+	Incarnation vm.Incarnation `json:"incarnation"`
+	Revision    uint64         `json:"revision"`
+	// WaitingFor says what a stopping process still waits for.
+	WaitingFor string           `json:"waiting_for,omitempty"`
+	Counters   map[string]int64 `json:"counters,omitempty"`
+	Replica    *ReplicaStatus   `json:"replica,omitempty"`
+	Upstream   *UpstreamStatus  `json:"upstream,omitempty"`
+}
+
+// ReplicaStatus is the state of a control replica.
+type ReplicaStatus struct {
+	Leader   vm.ID   `json:"leader,omitempty"`
+	Term     uint64  `json:"term"`
+	Commit   uint64  `json:"commit"`
+	Applied  uint64  `json:"applied"`
+	Voters   []vm.ID `json:"voters"`
+	Learners []vm.ID `json:"learners,omitempty"`
+}
+
+// UpstreamStatus is the state of an upstream as its agent sees it.
+type UpstreamStatus struct {
+	Service     service.Name `json:"service"`
+	Status      view.Status  `json:"status"`
+	Slots       int          `json:"slots"`
+	Busy        int          `json:"busy"`
+	Queued      int          `json:"queued"`
+	Flows       int          `json:"flows"`
+	HalfOpen    int          `json:"half_open"`
+	Connections int          `json:"connections"`
+}
+
+// EventsRequest asks for the latest events.
+type EventsRequest struct {
+	Limit  int    `json:"limit"`
+	Object string `json:"object,omitempty"`
+}
+
+// ExplainRequest names a flow.
+type ExplainRequest struct {
+	Caller   netip.AddrPort   `json:"caller"`
+	Endpoint service.Endpoint `json:"endpoint"`
+}
+
+// Explanation says where packets of a flow go and why.
+type Explanation struct {
+	Node    string        `json:"node"`
+	Service service.Name  `json:"service,omitempty"`
+	Holder  vm.ID         `json:"holder,omitempty"`
+	Home    vm.ID         `json:"home,omitempty"`
+	Placer  vm.ID         `json:"placer,omitempty"`
+	Ranking []vm.ID       `json:"ranking,omitempty"`
+	Reasons []string      `json:"reasons"`
+	Events  []event.Event `json:"events,omitempty"`
+}
--- /dev/null
+++ b/internal/frame/frame.go
@@ -0,0 +1,147 @@
+package frame
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/binary"
+	"fmt"
+
+	"github.com/dchest/siphash"
+)
+
+const (
+	// Version is the first byte of every frame.
+	Version = 1
+	// MaxOverhead bounds the bytes that a data frame adds to a packet.
+	MaxOverhead = 96
+	// coveredBytes is how much of a data packet the tag covers: the largest
+	// IP and transport headers without extension headers. The checksum of the
+	// inner packet protects the payload against corruption.
+	coveredBytes = 96
+
+	prefixBytes    = 2
+	packetTagBytes = 8
+	peerTagBytes   = 16
+)
+
+// Secret is one key of the cluster.
+type Secret struct {
+	K0, K1 uint64
+	MAC    [32]byte
+}
+
+// Keys are the valid secrets by key id. Current seals; both open.
+type Keys struct {
+	Current uint8
+	Secrets map[uint8]Secret
+}
+
+// Reason says why a frame was dropped.
+type Reason string
+
+// The reasons for which Open rejects a frame.
+const (
+	Truncated  Reason = "truncated"
+	BadVersion Reason = "bad_version"
+	BadHeader  Reason = "bad_header"
+	UnknownKey Reason = "unknown_key"
+	BadTag     Reason = "bad_tag"
+)
+
+// Error reports a rejected frame.
+type Error struct {
+	Reason Reason
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("frame rejected: %s", e.Reason) }
+
+// The errors are allocated once, so that a flood of bad frames costs no memory.
+var (
+	errTruncated  = &Error{Reason: Truncated}
+	errBadVersion = &Error{Reason: BadVersion}
+	errBadHeader  = &Error{Reason: BadHeader}
+	errUnknownKey = &Error{Reason: UnknownKey}
+	errBadTag     = &Error{Reason: BadTag}
+)
+
+// Seal appends a frame to dst and returns it. The layout is version, header
+// length, header, tag, body.
+func (k *Keys) Seal(dst []byte, h *Header, body []byte) ([]byte, error) {
+	secret, ok := k.Secrets[k.Current]
+	if !ok {
+		return dst, errUnknownKey
+	}
+	h.KeyID = k.Current
+	start := len(dst)
+	dst = append(dst, Version, 0)
+	dst, err := h.MarshalMsg(dst)
+	if err != nil {
+		return dst[:start], err
+	}
+	dst[start+1] = byte(len(dst) - start - prefixBytes)
+	dst = appendTag(dst, &secret, h.Kind, dst[start:], body)
+	return append(dst, body...), nil
+}
+
+// Open checks a frame, fills h and returns the body, which is part of b.
+func (k *Keys) Open(b []byte, h *Header) ([]byte, error) {
+	if len(b) < prefixBytes {
+		return nil, errTruncated
+	}
+	if b[0] != Version {
+		return nil, errBadVersion
+	}
+	end := prefixBytes + int(b[1])
+	if len(b) < end {
+		return nil, errTruncated
+	}
+	if rest, err := h.UnmarshalMsg(b[prefixBytes:end]); err != nil || len(rest) != 0 {
+		return nil, errBadHeader
+	}
+	secret, ok := k.Secrets[h.KeyID]
+	if !ok {
+		return nil, errUnknownKey
+	}
+	size := tagBytes(h.Kind)
+	if size == 0 {
+		return nil, errBadHeader
+	}
+	if len(b) < end+size {
+		return nil, errTruncated
+	}
+	body := b[end+size:]
+	var buf [peerTagBytes]byte
+	want := appendTag(buf[:0], &secret, h.Kind, b[:end], body)
+	if subtle.ConstantTimeCompare(want, b[end:end+size]) != 1 {
+		return nil, errBadTag
+	}
+	return body, nil
+}
+
+func tagBytes(kind Kind) int {
+	switch kind {
+	case KindPacket:
+		return packetTagBytes
+	case KindPeer, KindGossip:
+		return peerTagBytes
+	}
+	return 0
+}
+
+func appendTag(dst []byte, s *Secret, kind Kind, header, body []byte) []byte {
+	if kind == KindPacket {
+		return appendPacketTag(dst, s, header, body)
+	}
+	mac := hmac.New(sha256.New, s.MAC[:])
+	mac.Write(header)
+	mac.Write(body)
+	return append(dst, mac.Sum(nil)[:peerTagBytes]...)
+}
+
+func appendPacketTag(dst []byte, s *Secret, header, body []byte) []byte {
+	var covered [MaxOverhead + coveredBytes]byte
+	n := copy(covered[:], header)
+	n += copy(covered[n:], body[:min(len(body), coveredBytes)])
+	return binary.BigEndian.AppendUint64(dst, siphash.Hash(s.K0, s.K1, covered[:n]))
+}
--- /dev/null
+++ b/internal/frame/frame_test.go
@@ -0,0 +1,91 @@
+package frame
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func testKeys() *Keys {
+	return &Keys{Current: 1, Secrets: map[uint8]Secret{1: {K0: 1, K1: 2, MAC: [32]byte{3}}}}
+}
+
+func testHeader(kind Kind) Header {
+	return Header{Kind: kind, Hops: 2, Flags: FlagOpening, Service: 7, Incarnation: 1 << 60, Epoch: 1 << 61, Tried: 1 << 63, Origin: 1 << 62, Trace: Trace{High: 1 << 63, Low: 1 << 63, Span: 1 << 63}}
+}
+
+// Guards against an encoding that loses a field or exceeds the stated overhead.
+func TestSealOpenRoundTrip(t *testing.T) {
+	for _, kind := range []Kind{KindPacket, KindPeer, KindGossip} {
+		h, body := testHeader(kind), bytes.Repeat([]byte{9}, 200)
+		sealed, err := testKeys().Seal(nil, &h, body)
+		require.NoError(t, err)
+		if kind == KindPacket {
+			require.LessOrEqual(t, len(sealed)-len(body), MaxOverhead)
+		}
+		var got Header
+		opened, err := testKeys().Open(sealed, &got)
+		require.NoError(t, err)
+		require.Equal(t, h, got)
+		require.Equal(t, body, opened)
+	}
+}
+
+// Guards against accepting frames that were cut or changed on the way.
+func TestOpenRejects(t *testing.T) {
+	h := testHeader(KindPacket)
+	good, err := testKeys().Seal(nil, &h, bytes.Repeat([]byte{9}, 64))
+	require.NoError(t, err)
+	flip := func(i int) []byte { b := bytes.Clone(good); b[i] ^= 0x40; return b }
+	other := testKeys()
+	other.Secrets = map[uint8]Secret{2: {}}
+	cases := map[string]struct {
+		keys   *Keys
+		input  []byte
+		reason Reason
+	}{
+		"empty":         {testKeys(), nil, Truncated},
+		"header cut":    {testKeys(), good[:20], Truncated},
+		"tag cut":       {testKeys(), good[:len(good)-70], Truncated},
+		"version":       {testKeys(), flip(0), BadVersion},
+		"header length": {testKeys(), append([]byte{Version, 3}, good[2:]...), BadHeader},
+		"body forged":   {testKeys(), flip(len(good) - 1), BadTag},
+		"unknown key":   {other, good, UnknownKey},
+		"header forged": {testKeys(), flip(5), BadTag},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var got Header
+			_, err := c.keys.Open(c.input, &got)
+			var rejected *Error
+			require.True(t, errors.As(err, &rejected), "%v", err)
+			require.Equal(t, c.reason, rejected.Reason)
+		})
+	}
+}
+
+func BenchmarkSealOpen(b *testing.B) {
+	keys, body, buf := testKeys(), make([]byte, 1300), make([]byte, 0, 2048)
+	h := testHeader(KindPacket)
+	b.ReportAllocs()
+	for b.Loop() {
+		sealed, _ := keys.Seal(buf[:0], &h, body)
+		var got Header
+		if _, err := keys.Open(sealed, &got); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// FuzzOpen guards against panics on arbitrary input.
+func FuzzOpen(f *testing.F) {
+	h := testHeader(KindPacket)
+	good, _ := testKeys().Seal(nil, &h, []byte("body"))
+	f.Add(good)
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		var got Header
+		_, _ = testKeys().Open(b, &got)
+	})
+}
--- /dev/null
+++ b/internal/frame/header.go
@@ -0,0 +1,70 @@
+package frame
+
+//go:generate go run github.com/tinylib/msgp -file header.go -tests=false -io=false
+
+// Kind says what follows a header.
+type Kind uint8
+
+// The kinds of frames.
+const (
+	// KindPacket: an IP packet of a caller follows.
+	KindPacket Kind = 1
+	// KindPeer: a message between agents and balancers follows.
+	KindPeer Kind = 2
+	// KindGossip: a membership message follows.
+	KindGossip Kind = 3
+)
+
+// Flags say how far an opening has come.
+type Flags uint8
+
+// The flags of a frame.
+const (
+	// FlagOpening: the packet may open a flow.
+	FlagOpening Flags = 1 << iota
+	// FlagPlaced: the placer chose the receiver.
+	FlagPlaced
+	// FlagProbed: the flow's home does not know the flow.
+	FlagProbed
+	// FlagProbe: the placer asks the flow's home for a registration.
+	FlagProbe
+	// FlagHinted: the target was chosen from a hint or registration.
+	FlagHinted
+	// FlagReturned: the chosen agent passed the opening back.
+	FlagReturned
+)
+
+// Has reports whether all the given flags are set.
+func (f Flags) Has(other Flags) bool { return f&other == other }
+
+// Trace is the trace context of a sampled opening; zero if not sampled.
+type Trace struct {
+	High, Low uint64
+	Span      uint64
+}
+
+// Sampled reports whether the opening is traced.
+func (t Trace) Sampled() bool { return t.High != 0 || t.Low != 0 }
+
+//msgp:tuple Trace
+//msgp:tuple Header
+
+// Header precedes every packet and message between VMs.
+type Header struct {
+	Kind   Kind
+	KeyID  uint8
+	Hops   uint8
+	Passes uint8
+	Flags  Flags
+	// Service is the service.ID of the flow.
+	Service uint32
+	// Incarnation is that of the receiver, as the sender knows it, or 0.
+	Incarnation uint64
+	// Epoch is the intent revision of the sender's view.
+	Epoch uint64
+	// Tried has a bit for each member rank that was asked already.
+	Tried uint64
+	// Origin is the member hash of the balancer that took the packet in.
+	Origin uint64
+	Trace  Trace
+}
--- /dev/null
+++ b/internal/intent/change.go
@@ -0,0 +1,231 @@
+package intent
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+const (
+	// maxOperations bounds the remembered operation ids.
+	maxOperations = 4096
+	// maxHistory bounds the history rows kept in the state.
+	maxHistory = 4096
+)
+
+// Kind says what a change does.
+type Kind string
+
+// The kinds of changes.
+const (
+	KindInventory Kind = "inventory"
+	KindTraffic   Kind = "traffic"
+	KindLeaving   Kind = "leaving"
+	KindContract  Kind = "contract"
+)
+
+// Change is one request of an operator. Exactly the field of its kind is set.
+type Change struct {
+	OperationID  string        `json:"operation_id"`
+	BaseRevision uint64        `json:"base_revision"`
+	Operator     string        `json:"operator,omitempty"`
+	Kind         Kind          `json:"kind"`
+	Inventory    *Inventory    `json:"inventory,omitempty"`
+	Traffic      *TrafficRule  `json:"traffic,omitempty"`
+	Leaving      *LeavingRule  `json:"leaving,omitempty"`
+	Contract     *ContractRule `json:"contract,omitempty"`
+}
+
+// TrafficRule says whether a service takes traffic.
+type TrafficRule struct {
+	Service service.Name `json:"service"`
+	Enabled bool         `json:"enabled"`
+}
+
+// LeavingRule says whether a VM is leaving.
+type LeavingRule struct {
+	VM      vm.ID `json:"vm"`
+	Leaving bool  `json:"leaving"`
+}
+
+// ContractRule sets the contract of a service.
+type ContractRule struct {
+	Service  service.Name     `json:"service"`
+	Contract service.Contract `json:"contract"`
+}
+
+// Outcome says what became of a change.
+type Outcome string
+
+// The outcomes of a change.
+const (
+	Accepted Outcome = "accepted"
+	Conflict Outcome = "conflict"
+	Rejected Outcome = "rejected"
+)
+
+// Result is the answer to a change.
+type Result struct {
+	Outcome  Outcome `json:"outcome"`
+	Revision uint64  `json:"revision"`
+	Reason   string  `json:"reason,omitempty"`
+	// Winner is set on a conflict: the change that made the current revision.
+	Winner *HistoryRow `json:"winner,omitempty"`
+}
+
+// Apply returns the state after a change and the answer to it. The given
+// state is not modified. A known operation id returns its first answer and
+// the same state.
+func Apply(s *State, c Change) (*State, Result) {
+	if r, ok := s.firstAnswer(c.OperationID); ok {
+		return s, r
+	}
+	next := s.Clone()
+	result := next.decide(c)
+	next.remember(Operation{ID: c.OperationID, Result: result})
+	return next, result
+}
+
+func (s *State) firstAnswer(id string) (Result, bool) {
+	for _, op := range s.Operations {
+		if op.ID == id {
+			return op.Result, true
+		}
+	}
+	return Result{}, false
+}
+
+func (s *State) decide(c Change) Result {
+	if c.BaseRevision != s.Revision {
+		return s.conflict(c.BaseRevision)
+	}
+	summary, err := s.modify(c)
+	if err != nil {
+		return Result{Outcome: Rejected, Revision: s.Revision, Reason: err.Error()}
+	}
+	s.Revision++
+	s.History = appendBounded(s.History, HistoryRow{
+		Revision: s.Revision, OperationID: c.OperationID, Operator: c.Operator, Summary: summary,
+	}, maxHistory)
+	return Result{Outcome: Accepted, Revision: s.Revision}
+}
+
+func (s *State) conflict(base uint64) Result {
+	r := Result{Outcome: Conflict, Revision: s.Revision, Reason: fmt.Sprintf("base revision is %d, current revision is %d", base, s.Revision)}
+	if n := len(s.History); n > 0 {
+		winner := s.History[n-1]
+		r.Winner = &winner
+	}
+	return r
+}
+
+func (s *State) remember(op Operation) { s.Operations = appendBounded(s.Operations, op, maxOperations) }
+
+func appendBounded[T any](list []T, item T, limit int) []T {
+	list = append(list, item)
+	if len(list) > limit {
+		list = slices.Delete(list, 0, len(list)-limit)
+	}
+	return list
+}
+
+func (s *State) modify(c Change) (summary string, err error) {
+	switch {
+	case c.Kind == KindInventory && c.Inventory != nil:
+		return s.setInventory(*c.Inventory)
+	case c.Kind == KindTraffic && c.Traffic != nil:
+		return s.setTraffic(*c.Traffic)
+	case c.Kind == KindLeaving && c.Leaving != nil:
+		return s.setLeaving(*c.Leaving)
+	case c.Kind == KindContract && c.Contract != nil:
+		return s.setContract(*c.Contract)
+	}
+	return "", &RuleError{Object: "change", Name: string(c.Kind), Reason: "unknown kind or missing content"}
+}
+
+// RuleError reports a change that names something unknown or is malformed.
+type RuleError struct {
+	Object string
+	Name   string
+	Reason string
+}
+
+func (e *RuleError) Error() string { return fmt.Sprintf("%s %q: %s", e.Object, e.Name, e.Reason) }
+
+func (s *State) setTraffic(r TrafficRule) (string, error) {
+	i := slices.IndexFunc(s.Services, func(v Service) bool { return v.Name == r.Service })
+	if i < 0 {
+		return "", &RuleError{Object: "service", Name: string(r.Service), Reason: "not in the inventory"}
+	}
+	s.Services[i].Traffic = r.Enabled
+	return fmt.Sprintf("service %s traffic=%t", r.Service, r.Enabled), nil
+}
+
+func (s *State) setLeaving(r LeavingRule) (string, error) {
+	i := slices.IndexFunc(s.VMs, func(v VM) bool { return v.ID == r.VM })
+	if i < 0 || s.VMs[i].Status == Retired {
+		return "", &RuleError{Object: "vm", Name: string(r.VM), Reason: "not in the inventory"}
+	}
+	s.VMs[i].Status = Active
+	if r.Leaving {
+		s.VMs[i].Status = Leaving
+	}
+	return fmt.Sprintf("vm %s %s", r.VM, s.VMs[i].Status), nil
+}
+
+func (s *State) setContract(r ContractRule) (string, error) {
+	i := slices.IndexFunc(s.Services, func(v Service) bool { return v.Name == r.Service })
+	if i < 0 {
+		return "", &RuleError{Object: "service", Name: string(r.Service), Reason: "not in the inventory"}
+	}
+	s.Services[i].Contract = r.Contract
+	return fmt.Sprintf("service %s contract idempotent=%t shape=%s queue=%s priority=%s",
+		r.Service, r.Contract.Idempotent, r.Contract.Shape, r.Contract.QueueDeadline, r.Contract.Priority), nil
+}
+
+// setInventory replaces the inventory. Rules of services and VMs that stay are
+// kept; removed upstreams are retired.
+func (s *State) setInventory(inv Inventory) (string, error) {
+	s.Services = s.mergeServices(inv.Services)
+	s.VMs = s.mergeMachines(inv.Machines)
+	return fmt.Sprintf("inventory of %d VMs and %d services", len(inv.Machines), len(inv.Services)), nil
+}
+
+func (s *State) mergeServices(entries []ServiceEntry) []Service {
+	merged := make([]Service, 0, len(entries))
+	for _, e := range entries {
+		known, ok := s.FindService(e.Name)
+		if !ok {
+			s.NextServiceID++
+			known = Service{ID: s.NextServiceID, Name: e.Name, Traffic: true, Contract: service.DefaultContract()}
+		}
+		known.Endpoint = e.Endpoint
+		merged = append(merged, known)
+	}
+	slices.SortFunc(merged, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	return merged
+}
+
+func (s *State) mergeMachines(machines []Machine) []VM {
+	merged := make([]VM, 0, len(machines))
+	listed := make(map[vm.ID]bool, len(machines))
+	for _, m := range machines {
+		listed[m.ID] = true
+		status := Active
+		if known, ok := s.FindVM(m.ID); ok && known.Status == Leaving {
+			status = Leaving
+		}
+		merged = append(merged, VM{Machine: m, Status: status})
+	}
+	for _, v := range s.VMs {
+		if !listed[v.ID] && v.Role == vm.RoleUpstream {
+			v.Status = Retired
+			merged = append(merged, v)
+		}
+	}
+	slices.SortFunc(merged, func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
+	return merged
+}
--- /dev/null
+++ b/internal/intent/state.go
@@ -0,0 +1,118 @@
+// Package intent is what operators want: the inventory from their asset
+// register and the rules on top of it, at a numbered revision. Applying a
+// change is deterministic, so that every control replica and every node that
+// applies the same changes in the same order has the same state.
+package intent
+
+import (
+	"net/netip"
+	"slices"
+
+	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/vm"
+	"bramleyhold.example/bramleyhold/internal/zone"
+)
+
+// Machine is one VM of the asset register.
+type Machine struct {
+	ID      vm.ID      `json:"id"`
+	Address netip.Addr `json:"address"`
+	Zone    zone.ID    `json:"zone"`
+	Role    vm.Role    `json:"role"`
+	// Service, Slots and Connections are set for upstreams only.
+	Service     service.Name `json:"service,omitempty"`
+	Slots       int          `json:"slots,omitempty"`
+	Connections int          `json:"connections,omitempty"`
+}
+
+// ServiceEntry is one service of the asset register.
+type ServiceEntry struct {
+	Name     service.Name     `json:"name"`
+	Endpoint service.Endpoint `json:"endpoint"`
+}
+
+// Inventory is the content of an asset register export, sorted by name.
+type Inventory struct {
+	Machines []Machine      `json:"machines"`
+	Services []ServiceEntry `json:"services"`
+}
+
+// Service is a service with its number and its rules.
+type Service struct {
+	ID       service.ID       `json:"id"`
+	Name     service.Name     `json:"name"`
+	Endpoint service.Endpoint `json:"endpoint"`
+	Traffic  bool             `json:"traffic"`
+	Contract service.Contract `json:"contract"`
+}
+
+// MachineStatus says whether a VM takes part.
+type MachineStatus string
+
+// The statuses of a VM in the intent.
+const (
+	Active  MachineStatus = "active"
+	Leaving MachineStatus = "leaving"
+	// Retired: removed from the inventory; it keeps its established flows
+	// until they end and takes no new work.
+	Retired MachineStatus = "retired"
+)
+
+// VM is a machine with its status.
+type VM struct {
+	Machine
+	Status MachineStatus `json:"status"`
+}
+
+// State is the intent at one revision. Values are not changed after they have
+// been published; Apply works on a copy.
+type State struct {
+	Revision      uint64       `json:"revision"`
+	VMs           []VM         `json:"vms"`
+	Services      []Service    `json:"services"`
+	NextServiceID service.ID   `json:"next_service_id"`
+	Operations    []Operation  `json:"operations"`
+	History       []HistoryRow `json:"history"`
+}
+
+// Operation is the remembered first answer to an operation id.
+type Operation struct {
+	ID     string `json:"id"`
+	Result Result `json:"result"`
+}
+
+// HistoryRow says which operation made a revision.
+type HistoryRow struct {
+	Revision    uint64 `json:"revision"`
+	OperationID string `json:"operation_id"`
+	Operator    string `json:"operator,omitempty"`
+	Summary     string `json:"summary"`
+}
+
+// FindVM returns the VM with the given id.
+func (s *State) FindVM(id vm.ID) (VM, bool) {
+	i := slices.IndexFunc(s.VMs, func(v VM) bool { return v.ID == id })
+	if i < 0 {
+		return VM{}, false
+	}
+	return s.VMs[i], true
+}
+
+// FindService returns the service with the given name.
+func (s *State) FindService(name service.Name) (Service, bool) {
+	i := slices.IndexFunc(s.Services, func(v Service) bool { return v.Name == name })
+	if i < 0 {
+		return Service{}, false
+	}
+	return s.Services[i], true
+}
+
+// Clone returns a copy that shares nothing with the state.
+func (s *State) Clone() *State {
+	c := *s
+	c.VMs = slices.Clone(s.VMs)
+	c.Services = slices.Clone(s.Services)
+	c.Operations = slices.Clone(s.Operations)
+	c.History = slices.Clone(s.History)
+	return &c
+}
--- /dev/null
+++ b/internal/rpc/rpc.go
@@ -0,0 +1,185 @@
+// Package rpc carries jsonrpc2 over TCP, or over TLS with both sides verified.
+package rpc
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const (
+	dialTimeout      = 3 * time.Second
+	handshakeTimeout = 3 * time.Second
+)
+
+// Handler answers the requests of one connection.
+type Handler = jsonrpc2.Handler
+
+// Conn is one connection. Both sides can call and notify.
+type Conn = jsonrpc2.Conn
+
+// HandlerFunc answers one method. The result is marshalled to JSON.
+type HandlerFunc func(ctx context.Context, conn *Conn, params json.RawMessage) (any, error)
+
+// Methods maps method names to their handlers.
+type Methods map[string]HandlerFunc
+
+// Handler returns the jsonrpc2 handler of the methods. Requests of one
+// connection run concurrently.
+func (m Methods) Handler() Handler {
+	return jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(m.dispatch).SuppressErrClosed())
+}
+
+func (m Methods) dispatch(ctx context.Context, conn *Conn, req *jsonrpc2.Request) (any, error) {
+	handle, ok := m[req.Method]
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method}
+	}
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	return handle(ctx, conn, params)
+}
+
+// Decode unmarshals parameters into a request value.
+func Decode[T any](params json.RawMessage) (T, error) {
+	var value T
+	if err := json.Unmarshal(params, &value); err != nil {
+		return value, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	return value, nil
+}
+
+// Dial connects to a server. With a nil TLS configuration the connection is
+// plain TCP, which is meant for loopback only.
+func Dial(ctx context.Context, address string, config *tls.Config, handler Handler) (*Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", address, err)
+	}
+	raw, err = secure(ctx, raw, config, false)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", address, err)
+	}
+	// The connection outlives the dial context.
+	return jsonrpc2.NewConn(context.WithoutCancel(ctx), stream(raw), handler), nil
+}
+
+func stream(raw net.Conn) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewBufferedStream(raw, jsonrpc2.VSCodeObjectCodec{})
+}
+
+func secure(ctx context.Context, raw net.Conn, config *tls.Config, server bool) (net.Conn, error) {
+	if config == nil {
+		return raw, nil
+	}
+	conn := tls.Client(raw, config)
+	if server {
+		conn = tls.Server(raw, config)
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, fmt.Errorf("TLS handshake: %w", err)
+	}
+	return conn, nil
+}
+
+// Server accepts connections and answers them with one handler.
+type Server struct {
+	listener net.Listener
+	config   *tls.Config
+	handler  Handler
+
+	mu     sync.Mutex
+	closed bool
+	conns  map[*Conn]struct{}
+	done   sync.WaitGroup
+	// OnReject is told about connections that failed the TLS handshake.
+	onReject func(error)
+}
+
+// Listen opens a listener. Serve must be called to accept connections.
+func Listen(address string, config *tls.Config, handler Handler, onReject func(error)) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	if onReject == nil {
+		onReject = func(error) {}
+	}
+	return &Server{listener: listener, config: config, handler: handler, conns: map[*Conn]struct{}{}, onReject: onReject}, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() net.Addr { return s.listener.Addr() }
+
+// Serve accepts connections until Close is called, and then returns nil.
+func (s *Server) Serve(ctx context.Context) error {
+	for {
+		raw, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept: %w", err)
+		}
+		s.done.Add(1)
+		go s.serveConn(ctx, raw)
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, raw net.Conn) {
+	defer s.done.Done()
+	secured, err := secure(ctx, raw, s.config, true)
+	if err != nil {
+		s.onReject(err)
+		return
+	}
+	conn := jsonrpc2.NewConn(ctx, stream(secured), s.handler)
+	if !s.add(conn) {
+		_ = conn.Close()
+		return
+	}
+	<-conn.DisconnectNotify()
+	s.remove(conn)
+}
+
+func (s *Server) add(conn *Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(conn *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// Close stops accepting, closes all connections and waits for them.
+func (s *Server) Close() error {
+	err := s.listener.Close()
+	s.mu.Lock()
+	s.closed = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.done.Wait()
+	return err
+}
--- /dev/null
+++ b/internal/view/view.go
@@ -0,0 +1,268 @@
+// Package view joins the intent with the live members into the immutable value
+// on which balancers and agents decide. It does no I/O.
+package view
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"bramleyhold.example/bramleyhold/internal/intent"
+	"bramleyhold.example/bramleyhold/internal/ranking"
+	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/vm"
+	"bramleyhold.example/bramleyhold/internal/zone"
+)
+
+// Status is the status of a live process.
+type Status string
+
+// The statuses of a member.
+const (
+	Starting  Status = "starting"
+	Ready     Status = "ready"
+	Leaving   Status = "leaving"
+	Left      Status = "left"
+	Suspected Status = "suspected"
+	Failed    Status = "failed"
+)
+
+// Member is what a live process announces about itself, with the status that
+// its observers agree on.
+type Member struct {
+	VM          vm.ID          `json:"vm"`
+	Role        vm.Role        `json:"role"`
+	Zone        zone.ID        `json:"zone"`
+	Service     service.Name   `json:"service,omitempty"`
+	Address     netip.AddrPort `json:"address"`
+	Incarnation vm.Incarnation `json:"incarnation"`
+	Status      Status         `json:"status"`
+	// Version orders the announcements of one incarnation.
+	Version uint64 `json:"version"`
+	// ColdUntil is when the slow start of an upstream ends; zero if warm.
+	ColdUntil time.Time `json:"cold_until,omitzero"`
+}
+
+// Upstream is one member of a service.
+type Upstream struct {
+	VM          vm.ID
+	Hash        uint64
+	Zone        zone.ID
+	Address     netip.AddrPort
+	Incarnation vm.Incarnation
+	Status      Status
+	Slots       int
+	Connections int
+	ColdUntil   time.Time
+}
+
+// TakesWork reports whether the placer may choose the upstream.
+func (u *Upstream) TakesWork() bool { return u.Status == Ready }
+
+// Reachable reports whether packets can be sent to the agent of the upstream.
+func (u *Upstream) Reachable() bool { return u.Status != Failed && u.Status != Left }
+
+// Service is a service with its members in the order of their VM ids.
+type Service struct {
+	ID       service.ID
+	Name     service.Name
+	Endpoint service.Endpoint
+	Contract service.Contract
+	Traffic  bool
+	Members  []Upstream
+	// Hashes holds the member hashes in the order of Members.
+	Hashes []uint64
+	// Unreachable has a bit for each member that gets no packets.
+	Unreachable uint64
+	// ChangedAt is when the set of members, or a status, last changed here.
+	ChangedAt time.Time
+	placers   []int
+}
+
+// membersPerPlacer bounds the members that one placer serves.
+const membersPerPlacer = 32
+
+// View is immutable after Build.
+type View struct {
+	Revision  uint64
+	Services  []Service
+	Balancers []Member
+
+	byEndpoint map[service.Endpoint]int
+	byID       map[service.ID]int
+	origins    map[uint64]netip.AddrPort
+}
+
+// Build joins a state with the live members. The previous view, if any, tells
+// which services have changed. Members that the inventory does not allow are
+// left out.
+func Build(state *intent.State, members []Member, previous *View, now time.Time) *View {
+	v := &View{
+		Revision:   state.Revision,
+		byEndpoint: make(map[service.Endpoint]int, len(state.Services)),
+		byID:       make(map[service.ID]int, len(state.Services)),
+		origins:    map[uint64]netip.AddrPort{},
+	}
+	upstreams := v.admit(state, members)
+	for i := range state.Services {
+		v.addService(&state.Services[i], upstreams[state.Services[i].Name], previous, now)
+	}
+	return v
+}
+
+// admit checks members against the inventory and groups upstreams by service.
+func (v *View) admit(state *intent.State, members []Member) map[service.Name][]Upstream {
+	machines := make(map[vm.ID]intent.VM, len(state.VMs))
+	for _, m := range state.VMs {
+		machines[m.ID] = m
+	}
+	upstreams := map[service.Name][]Upstream{}
+	for _, member := range members {
+		machine, ok := machines[member.VM]
+		if !ok || !Allowed(machine, member) {
+			continue
+		}
+		if member.Role == vm.RoleBalancer {
+			v.Balancers = append(v.Balancers, member)
+			v.origins[ranking.MemberHash(member.VM)] = member.Address
+			continue
+		}
+		if member.Role == vm.RoleUpstream {
+			upstreams[member.Service] = append(upstreams[member.Service], join(machine, member))
+		}
+	}
+	return upstreams
+}
+
+// Allowed reports whether the inventory lets the VM announce itself like this.
+func Allowed(machine intent.VM, m Member) bool {
+	return machine.Role == m.Role && machine.Service == m.Service && machine.Zone == m.Zone
+}
+
+func join(machine intent.VM, m Member) Upstream {
+	u := Upstream{
+		VM: m.VM, Hash: ranking.MemberHash(m.VM), Zone: m.Zone, Address: m.Address,
+		Incarnation: m.Incarnation, Status: m.Status,
+		Slots: machine.Slots, Connections: machine.Connections, ColdUntil: m.ColdUntil,
+	}
+	if machine.Status != intent.Active && m.Status == Ready {
+		u.Status = Leaving
+	}
+	return u
+}
+
+func (v *View) addService(s *intent.Service, members []Upstream, previous *View, now time.Time) {
+	slices.SortFunc(members, func(a, b Upstream) int { return cmp.Compare(a.VM, b.VM) })
+	if len(members) > ranking.MaxMembers {
+		members = members[:ranking.MaxMembers]
+	}
+	svc := Service{
+		ID: s.ID, Name: s.Name, Endpoint: s.Endpoint, Contract: s.Contract, Traffic: s.Traffic,
+		Members: members, ChangedAt: now,
+	}
+	for i := range members {
+		svc.Hashes = append(svc.Hashes, members[i].Hash)
+		if !members[i].Reachable() {
+			svc.Unreachable |= 1 << uint(i)
+		}
+	}
+	svc.placers = rankPlacers(&svc)
+	if before := previous.ServiceByID(s.ID); before != nil && sameMembers(before.Members, members) {
+		svc.ChangedAt = before.ChangedAt
+	}
+	v.byEndpoint[s.Endpoint] = len(v.Services)
+	v.byID[s.ID] = len(v.Services)
+	v.Services = append(v.Services, svc)
+}
+
+func sameMembers(a, b []Upstream) bool {
+	return slices.EqualFunc(a, b, func(x, y Upstream) bool {
+		return x.VM == y.VM && x.Incarnation == y.Incarnation && x.Status == y.Status && x.Address == y.Address
+	})
+}
+
+// rankPlacers returns the member indexes that place openings.
+func rankPlacers(s *Service) []int {
+	count := (len(s.Members) + membersPerPlacer - 1) / membersPerPlacer
+	skip := s.Unreachable
+	for i := range s.Members {
+		// A starting or suspected member must not be the one that places.
+		if s.Members[i].Status != Ready && s.Members[i].Status != Leaving {
+			skip |= 1 << uint(i)
+		}
+	}
+	var placers []int
+	for len(placers) < count {
+		i := ranking.FirstEqual(uint64(s.ID), s.Hashes, skip)
+		if i < 0 {
+			break
+		}
+		placers = append(placers, i)
+		skip |= 1 << uint(i)
+	}
+	return placers
+}
+
+// ServiceByID returns a service, or nil. It may be called on a nil view.
+func (v *View) ServiceByID(id service.ID) *Service {
+	if v == nil {
+		return nil
+	}
+	i, ok := v.byID[id]
+	if !ok {
+		return nil
+	}
+	return &v.Services[i]
+}
+
+// ServiceByEndpoint returns the service behind a virtual address, or nil.
+func (v *View) ServiceByEndpoint(e service.Endpoint) *Service {
+	if v == nil {
+		return nil
+	}
+	i, ok := v.byEndpoint[e]
+	if !ok {
+		return nil
+	}
+	return &v.Services[i]
+}
+
+// Origin returns the address of the balancer with the given hash.
+func (v *View) Origin(hash uint64) (netip.AddrPort, bool) {
+	if v == nil {
+		return netip.AddrPort{}, false
+	}
+	a, ok := v.origins[hash]
+	return a, ok
+}
+
+// Index returns the position of a VM among the members, or -1.
+func (s *Service) Index(id vm.ID) int {
+	i, ok := slices.BinarySearchFunc(s.Members, id, func(u Upstream, id vm.ID) int { return cmp.Compare(u.VM, id) })
+	if !ok {
+		return -1
+	}
+	return i
+}
+
+// IndexByHash returns the position of the member with the given hash, or -1.
+func (s *Service) IndexByHash(hash uint64) int { return slices.Index(s.Hashes, hash) }
+
+// Home returns the first reachable member in the ranking of a flow, or -1.
+func (s *Service) Home(flow uint64) int {
+	return ranking.FirstEqual(flow, s.Hashes, s.Unreachable)
+}
+
+// Next returns the next reachable member in rank that is not in tried, or -1.
+func (s *Service) Next(flow, tried uint64) int {
+	return ranking.FirstEqual(flow, s.Hashes, s.Unreachable|tried)
+}
+
+// Placer returns the member that places the openings of a flow, or -1.
+func (s *Service) Placer(flow uint64) int {
+	if len(s.placers) == 0 {
+		return -1
+	}
+	return s.placers[flow%uint64(len(s.placers))]
+}
