Balancer and agent cores: first whole set of decisions

Cause: the data path, the measuring driver and the agent policies need one set of interfaces. Change: balancer core with hints; agent core with flow table, aliases, placement by one placer, admission, registrations, rank-order forwarding and load reports. Frames name the agents that have forwarded a packet by member hash, since positions differ between views.

--- /dev/null
+++ b/internal/agent/walk.go
@@ -0,0 +1,142 @@
+package agent
+
+import (
+	"bramleyhold.example/bramleyhold/internal/flow"
+	"bramleyhold.example/bramleyhold/internal/frame"
+	"bramleyhold.example/bramleyhold/internal/packet"
+	"bramleyhold.example/bramleyhold/internal/peer"
+	"bramleyhold.example/bramleyhold/internal/view"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+// handleUnknown decides about a packet whose flow is not held here and that
+// does not open one.
+func (c *Core) handleUnknown(a *arrival, out *Actions) {
+	if c.forwardRegistered(a, out) {
+		return
+	}
+	c.forwardNext(a, out)
+}
+
+// forwardRegistered sends a packet to the holder that has registered the flow
+// here, and hints the balancer. It reports whether there is one.
+func (c *Core) forwardRegistered(a *arrival, out *Actions) bool {
+	reg, ok := c.peers.find(a.key)
+	if !ok || a.h.Hops >= frame.MaxHops {
+		return false
+	}
+	i := a.svc.Index(reg.holder)
+	if i < 0 || !a.svc.Members[i].Reachable() || a.svc.Tried(a.h.Tried[:])&(1<<uint(i)) != 0 {
+		return false
+	}
+	next := *a.h
+	next.Flags |= frame.FlagHinted
+	next.Incarnation = uint64(reg.record.Incarnation)
+	c.forward(a, i, next, out)
+	c.hintOrigin(a.h, a.key, reg.holder, reg.record.Incarnation, out)
+	return true
+}
+
+// forwardNext passes a packet along the ranking of its flow.
+func (c *Core) forwardNext(a *arrival, out *Actions) {
+	tried := a.svc.Tried(a.h.Tried[:]) | c.selfBit(a.svc)
+	next := a.svc.Next(a.hash, tried)
+	if next >= 0 && a.h.Hops < frame.MaxHops {
+		header := *a.h
+		header.Flags &^= frame.FlagHinted
+		header.Incarnation = 0
+		c.forward(a, next, header, out)
+		return
+	}
+	c.endOfWalk(a, out)
+}
+
+// endOfWalk decides about a packet of a flow that nobody holds. While views may
+// differ it is dropped, since the sender retransmits it.
+func (c *Core) endOfWalk(a *arrival, out *Actions) {
+	if a.h.Flags.Has(frame.FlagOpening) && a.m.Opening() {
+		c.handleUnplaced(a, out)
+		return
+	}
+	if a.m.Quoted || a.m.Flags.Has(packet.RST) {
+		out.drop(UnknownFlow)
+		return
+	}
+	if a.now.Sub(a.svc.ChangedAt) < GracePeriod || unsettled(a.svc) {
+		out.drop(InGracePeriod)
+		return
+	}
+	if a.m.Protocol == packet.ProtocolUDP {
+		out.drop(UnknownFlow)
+		return
+	}
+	out.add(Action{Kind: ResetCaller, Flow: a.key, Reason: UnknownFlow})
+}
+
+func (c *Core) handleUnplaced(a *arrival, out *Actions) {
+	placer := a.svc.Placer(a.hash)
+	if placer < 0 || a.h.Passes >= maxPasses {
+		out.add(Action{Kind: Refuse, Flow: a.key, Reason: NoUpstream})
+		return
+	}
+	next := *a.h
+	next.Flags |= frame.FlagProbed
+	next.Passes++
+	c.forward(a, placer, next, out)
+}
+
+// unsettled reports whether a member may hold flows that nobody can see now.
+func unsettled(svc *view.Service) bool {
+	for i := range svc.Members {
+		s := svc.Members[i].Status
+		if s == view.Starting || s == view.Suspected {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) selfBit(svc *view.Service) uint64 {
+	i := svc.IndexByHash(c.selfHash)
+	if i < 0 {
+		return 0
+	}
+	return 1 << uint(i)
+}
+
+// forward sends the packet to a member of the service.
+func (c *Core) forward(a *arrival, member int, h frame.Header, out *Actions) {
+	if int(h.Hops) < len(h.Tried) {
+		h.Tried[h.Hops] = uint32(c.selfHash)
+	}
+	h.Hops++
+	if !h.Flags.Has(frame.FlagHinted) {
+		h.Incarnation = 0
+	}
+	u := &a.svc.Members[member]
+	out.add(Action{Kind: Forward, Flow: a.key, To: u.Address, ToVM: u.VM, Header: h})
+}
+
+// hintOrigin tells the balancer that took the packet in who holds the flow.
+func (c *Core) hintOrigin(h *frame.Header, key flow.Key, holder vm.ID, incarnation vm.Incarnation, out *Actions) {
+	address, ok := c.view.Load().Origin(h.Origin)
+	if !ok {
+		return
+	}
+	out.add(Action{Kind: Send, To: address, Message: &peer.Message{
+		Hint: &peer.Hint{Key: key, Holder: holder, Incarnation: incarnation, Epoch: h.Epoch},
+	}})
+}
+
+// stale reports whether a frame was meant for an earlier life of this VM.
+func (c *Core) stale(h *frame.Header) bool {
+	return h.Incarnation != 0 && h.Incarnation < uint64(c.oldestIncarnation())
+}
+
+// oldestIncarnation is the oldest one whose flows this agent has taken over.
+func (c *Core) oldestIncarnation() vm.Incarnation { return c.cfg.Incarnation }
+
+func (c *Core) rejectStale(h *frame.Header, m *packet.Meta, out *Actions) {
+	c.hintOrigin(h, m.CallerKey(), "", 0, out)
+	out.drop(StaleIncarnation)
+}
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -14,7 +14,7 @@
 	// Version is the first byte of every frame.
 	Version = 1
 	// MaxOverhead bounds the bytes that a data frame adds to a packet.
-	MaxOverhead = 96
+	MaxOverhead = 140
 	// coveredBytes is how much of a data packet the tag covers: the largest
 	// IP and transport headers without extension headers. The checksum of the
 	// inner packet protects the payload against corruption.
--- a/internal/frame/header.go
+++ b/internal/frame/header.go
@@ -1,6 +1,6 @@
 package frame
 
-//go:generate go run github.com/tinylib/msgp -file header.go -tests=false -io=false
+//go:generate go tool msgp -file header.go -tests=false -io=false
 
 // Kind says what follows a header.
 type Kind uint8
@@ -15,6 +15,9 @@
 	KindGossip Kind = 3
 )
 
+// MaxHops bounds how often a packet is forwarded between agents.
+const MaxHops = 8
+
 // Flags say how far an opening has come.
 type Flags uint8
 
@@ -62,9 +65,12 @@
 	Incarnation uint64
 	// Epoch is the intent revision of the sender's view.
 	Epoch uint64
-	// Tried has a bit for each member rank that was asked already.
-	Tried uint64
+	// Tried holds the low bits of the member hashes of the agents that have
+	// forwarded the packet. Views may differ, so positions would not do.
+	Tried [MaxHops]uint32
 	// Origin is the member hash of the balancer that took the packet in.
 	Origin uint64
-	Trace  Trace
+	// Placement numbers the openings that a placer sent to the receiver.
+	Placement uint32
+	Trace     Trace
 }
--- a/internal/frame/header_gen.go
+++ b/internal/frame/header_gen.go
@@ -37,8 +37,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Header) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 12
+	o = append(o, 0x9c)
 	o = msgp.AppendUint8(o, uint8(z.Kind))
 	o = msgp.AppendUint8(o, z.KeyID)
 	o = msgp.AppendUint8(o, z.Hops)
@@ -47,8 +47,12 @@
 	o = msgp.AppendUint32(o, z.Service)
 	o = msgp.AppendUint64(o, z.Incarnation)
 	o = msgp.AppendUint64(o, z.Epoch)
-	o = msgp.AppendUint64(o, z.Tried)
+	o = msgp.AppendArrayHeader(o, uint32(MaxHops))
+	for za0001 := range z.Tried {
+		o = msgp.AppendUint32(o, z.Tried[za0001])
+	}
 	o = msgp.AppendUint64(o, z.Origin)
+	o = msgp.AppendUint32(o, z.Placement)
 	// array header, size 3
 	o = append(o, 0x93)
 	o = msgp.AppendUint64(o, z.Trace.High)
@@ -65,8 +69,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	{
@@ -117,24 +121,41 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
-	z.Tried, bts, err = msgp.ReadUint64Bytes(bts)
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Tried")
 		return
 	}
+	if zb0004 != uint32(MaxHops) {
+		err = msgp.ArrayError{Wanted: uint32(MaxHops), Got: zb0004}
+		return
+	}
+	for za0001 := range z.Tried {
+		z.Tried[za0001], bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Tried", za0001)
+			return
+		}
+	}
 	z.Origin, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Origin")
 		return
 	}
-	var zb0004 uint32
-	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	z.Placement, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Placement")
+		return
+	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Trace")
 		return
 	}
-	if zb0004 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0004}
+	if zb0005 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0005}
 		return
 	}
 	z.Trace.High, bts, err = msgp.ReadUint64Bytes(bts)
@@ -158,7 +179,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Header) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.Uint8Size + msgp.Uint8Size + msgp.Uint8Size + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size
+	s = 1 + msgp.Uint8Size + msgp.Uint8Size + msgp.Uint8Size + msgp.Uint8Size + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint64Size + msgp.ArrayHeaderSize + (MaxHops * (msgp.Uint32Size)) + msgp.Uint64Size + msgp.Uint32Size + 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,162 @@
+// Package peer defines the messages between agents, and from agents to
+// balancers. They travel as authenticated frames over UDP and can be lost,
+// duplicated or reordered, so each is idempotent or carries a sequence number.
+package peer
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bramleyhold.example/bramleyhold/internal/flow"
+	"bramleyhold.example/bramleyhold/internal/view"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+// MaxBodyBytes bounds an encoded message, so that its frame fits one datagram.
+const MaxBodyBytes = 1200
+
+// MaxFlowsPerMessage bounds the flows in one message, so that it stays below
+// MaxBodyBytes with IPv6 addresses.
+const MaxFlowsPerMessage = 8
+
+// FlowRecord is what a peer keeps so that the holder can take a flow up again
+// after a restart.
+type FlowRecord struct {
+	Key         flow.Key       `cbor:"1,keyasint"`
+	Alias       netip.AddrPort `cbor:"2,keyasint"`
+	Phase       flow.Phase     `cbor:"3,keyasint"`
+	HoldsSlot   bool           `cbor:"4,keyasint"`
+	Incarnation vm.Incarnation `cbor:"5,keyasint"`
+}
+
+// Register asks the receiver to keep records for the sender.
+type Register struct {
+	Holder      vm.ID          `cbor:"1,keyasint"`
+	Incarnation vm.Incarnation `cbor:"2,keyasint"`
+	Flows       []FlowRecord   `cbor:"3,keyasint"`
+}
+
+// Unregister says that flows of the sender have ended.
+type Unregister struct {
+	Holder      vm.ID          `cbor:"1,keyasint"`
+	Incarnation vm.Incarnation `cbor:"2,keyasint"`
+	Flows       []flow.Key     `cbor:"3,keyasint"`
+}
+
+// Recover asks for all records that name the sender.
+type Recover struct {
+	Holder      vm.ID          `cbor:"1,keyasint"`
+	Incarnation vm.Incarnation `cbor:"2,keyasint"`
+}
+
+// Recovered answers Recover with a part of the records. More is false in the
+// last part.
+type Recovered struct {
+	From  vm.ID        `cbor:"1,keyasint"`
+	Part  uint32       `cbor:"2,keyasint"`
+	Flows []FlowRecord `cbor:"3,keyasint"`
+	More  bool         `cbor:"4,keyasint"`
+}
+
+// Load tells how busy an upstream is. Older sequence numbers are ignored.
+type Load struct {
+	VM          vm.ID          `cbor:"1,keyasint"`
+	Incarnation vm.Incarnation `cbor:"2,keyasint"`
+	Sequence    uint64         `cbor:"3,keyasint"`
+	Busy        int            `cbor:"4,keyasint"`
+	Queued      int            `cbor:"5,keyasint"`
+	Slots       int            `cbor:"6,keyasint"`
+	Flows       int            `cbor:"7,keyasint"`
+	MaxFlows    int            `cbor:"8,keyasint"`
+	Status      view.Status    `cbor:"9,keyasint"`
+	// Placed is the greatest placement number that arrived from the receiver.
+	Placed uint32 `cbor:"10,keyasint"`
+}
+
+// Hint tells a balancer who holds a flow. An empty holder deletes the hint.
+type Hint struct {
+	Key         flow.Key       `cbor:"1,keyasint"`
+	Holder      vm.ID          `cbor:"2,keyasint"`
+	Incarnation vm.Incarnation `cbor:"3,keyasint"`
+	Epoch       uint64         `cbor:"4,keyasint"`
+}
+
+// Claim asks the home of a flow for the exclusive right to run its opening.
+type Claim struct {
+	Key         flow.Key       `cbor:"1,keyasint"`
+	Holder      vm.ID          `cbor:"2,keyasint"`
+	Incarnation vm.Incarnation `cbor:"3,keyasint"`
+	Epoch       uint64         `cbor:"4,keyasint"`
+}
+
+// Claimed answers Claim.
+type Claimed struct {
+	Key     flow.Key `cbor:"1,keyasint"`
+	Granted bool     `cbor:"2,keyasint"`
+	Epoch   uint64   `cbor:"3,keyasint"`
+	Reason  string   `cbor:"4,keyasint,omitempty"`
+}
+
+// Message is one of the messages; exactly one field is set.
+type Message struct {
+	Register   *Register   `cbor:"1,keyasint,omitempty"`
+	Unregister *Unregister `cbor:"2,keyasint,omitempty"`
+	Recover    *Recover    `cbor:"3,keyasint,omitempty"`
+	Recovered  *Recovered  `cbor:"4,keyasint,omitempty"`
+	Load       *Load       `cbor:"5,keyasint,omitempty"`
+	Hint       *Hint       `cbor:"6,keyasint,omitempty"`
+	Claim      *Claim      `cbor:"7,keyasint,omitempty"`
+	Claimed    *Claimed    `cbor:"8,keyasint,omitempty"`
+}
+
+// DecodeError reports a message that is not valid.
+type DecodeError struct {
+	Reason string
+}
+
+func (e *DecodeError) Error() string { return "peer message: " + e.Reason }
+
+var decoder = newDecoder()
+
+func newDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 8, MaxArrayElements: 1024, MaxMapPairs: 64,
+	}.DecMode()
+	if err != nil {
+		panic(fmt.Sprintf("CBOR options: %v", err))
+	}
+	return mode
+}
+
+// Encode returns the encoded message.
+func Encode(m *Message) ([]byte, error) { return cbor.Marshal(m) }
+
+// Decode reads a message and checks that exactly one field is set.
+func Decode(b []byte) (*Message, error) {
+	if len(b) > MaxBodyBytes {
+		return nil, &DecodeError{Reason: fmt.Sprintf("%d bytes exceed %d", len(b), MaxBodyBytes)}
+	}
+	var m Message
+	if err := decoder.Unmarshal(b, &m); err != nil {
+		return nil, &DecodeError{Reason: err.Error()}
+	}
+	if m.fields() != 1 {
+		return nil, &DecodeError{Reason: "want exactly one message"}
+	}
+	return &m, nil
+}
+
+func (m *Message) fields() int {
+	count := 0
+	for _, set := range []bool{
+		m.Register != nil, m.Unregister != nil, m.Recover != nil, m.Recovered != nil,
+		m.Load != nil, m.Hint != nil, m.Claim != nil, m.Claimed != nil,
+	} {
+		if set {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -91,6 +91,7 @@
 
 	byEndpoint map[service.Endpoint]int
 	byID       map[service.ID]int
+	byName     map[service.Name]int
 	origins    map[uint64]netip.AddrPort
 }
 
@@ -102,6 +103,7 @@
 		Revision:   state.Revision,
 		byEndpoint: make(map[service.Endpoint]int, len(state.Services)),
 		byID:       make(map[service.ID]int, len(state.Services)),
+		byName:     make(map[service.Name]int, len(state.Services)),
 		origins:    map[uint64]netip.AddrPort{},
 	}
 	upstreams := v.admit(state, members)
@@ -173,6 +175,7 @@
 	}
 	v.byEndpoint[s.Endpoint] = len(v.Services)
 	v.byID[s.ID] = len(v.Services)
+	v.byName[s.Name] = len(v.Services)
 	v.Services = append(v.Services, svc)
 }
 
@@ -216,6 +219,18 @@
 	return &v.Services[i]
 }
 
+// ServiceByName returns a service, or nil. It may be called on a nil view.
+func (v *View) ServiceByName(name service.Name) *Service {
+	if v == nil {
+		return nil
+	}
+	i, ok := v.byName[name]
+	if !ok {
+		return nil
+	}
+	return &v.Services[i]
+}
+
 // ServiceByEndpoint returns the service behind a virtual address, or nil.
 func (v *View) ServiceByEndpoint(e service.Endpoint) *Service {
 	if v == nil {
@@ -266,3 +281,22 @@
 	}
 	return s.placers[flow%uint64(len(s.placers))]
 }
+
+// IsPlacer reports whether a member places openings.
+func (s *Service) IsPlacer(member int) bool { return slices.Contains(s.placers, member) }
+
+// Tried returns a bit for each member whose hash is in a list of low hash bits.
+func (s *Service) Tried(list []uint32) uint64 {
+	var mask uint64
+	for _, tried := range list {
+		if tried == 0 {
+			continue
+		}
+		for i, hash := range s.Hashes {
+			if uint32(hash) == tried {
+				mask |= 1 << uint(i)
+			}
+		}
+	}
+	return mask
+}
