--- /dev/null
+++ b/internal/udplink/packets.go
@@ -0,0 +1,36 @@
+package udplink
+
+import "net/netip"
+
+// PacketSource is a source and sink of IP packets that travel as the payload of
+// UDP datagrams. It stands in for a TUN device in tests and where the process
+// has no privileges.
+type PacketSource struct {
+	link *Link
+	sink netip.AddrPort
+}
+
+// OpenPackets binds the address on which IP packets arrive. Packets that are
+// written go to sink.
+func OpenPackets(address, sink netip.AddrPort) (*PacketSource, error) {
+	link, err := Open(address)
+	if err != nil {
+		return nil, err
+	}
+	return &PacketSource{link: link, sink: sink}, nil
+}
+
+// Address returns the bound address.
+func (p *PacketSource) Address() netip.AddrPort { return p.link.Address() }
+
+// ReadPacket reads one IP packet.
+func (p *PacketSource) ReadPacket(b []byte) (int, error) {
+	n, _, err := p.link.conn.ReadFromUDPAddrPort(b)
+	return n, err
+}
+
+// WritePacket sends one IP packet to the sink.
+func (p *PacketSource) WritePacket(b []byte) error { return p.link.Send(b, p.sink) }
+
+// Close unblocks all reads.
+func (p *PacketSource) Close() error { return p.link.Close() }
