rpc: expose the verified peer of a connection to handlers

Cause: servers could not authorise requests, since handlers did not see the client certificate, and a client had to name the server in its TLS configuration for every address. Dial verifies the server against the dialled host.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -66,12 +66,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	raw, err = secure(ctx, raw, config, false)
+	raw, err = secure(ctx, raw, withServerName(config, address), false)
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
 	// The connection outlives the dial context.
-	return jsonrpc2.NewConn(context.WithoutCancel(ctx), stream(raw), handler), nil
+	ctx = withPeer(context.WithoutCancel(ctx), raw)
+	return jsonrpc2.NewConn(ctx, stream(raw), handler), nil
 }
 
 func stream(raw net.Conn) jsonrpc2.ObjectStream {
@@ -146,7 +147,7 @@
 		s.onReject(err)
 		return
 	}
-	conn := jsonrpc2.NewConn(ctx, stream(secured), s.handler)
+	conn := jsonrpc2.NewConn(withPeer(ctx, secured), stream(secured), s.handler)
 	if !s.add(conn) {
 		_ = conn.Close()
 		return
