Node adapters: balancer and agent over TUN or UDP, gossip and intent feed

Cause: the decision cores need sockets, devices, membership and the accepted intent. Change: internal/node runs one balancer or agent; applied intent is saved before use when there is a data folder; spans per hop travel in the frame header.

--- /dev/null
+++ b/internal/node/agent.go
@@ -0,0 +1,165 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"bramleyhold.example/bramleyhold/internal/agent"
+	"bramleyhold.example/bramleyhold/internal/frame"
+	"bramleyhold.example/bramleyhold/internal/packet"
+	"bramleyhold.example/bramleyhold/internal/peer"
+	"bramleyhold.example/bramleyhold/internal/udplink"
+	"bramleyhold.example/bramleyhold/internal/view"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+// agentTick is how often the agent core does what is due.
+const agentTick = 5 * time.Millisecond
+
+// AgentConfig is what an agent knows besides the common settings.
+type AgentConfig struct {
+	Config
+	// Upstream is the address of the server beside the agent.
+	Upstream netip.AddrPort
+	// Aliases is the prefix from which flows get their alias.
+	Aliases netip.Prefix
+}
+
+// Agent runs one agent.
+type Agent struct {
+	*base
+	core   *agent.Core
+	device Device
+
+	mu   sync.Mutex
+	held map[uint64]heldPacket
+}
+
+// heldPacket is an opening that waits for a decision.
+type heldPacket struct {
+	header frame.Header
+	packet []byte
+}
+
+// NewAgent opens the frame link. Packets for the upstream and answers to the
+// callers go to the device. Run must be called to start.
+func NewAgent(cfg AgentConfig, device Device) (*Agent, error) {
+	cfg.Role = vm.RoleUpstream
+	cfg.setDefaults()
+	a := &Agent{device: device, held: map[uint64]heldPacket{}}
+	a.core = agent.New(agent.Config{
+		VM: cfg.VM, Service: cfg.Service, Incarnation: cfg.Incarnation,
+		Upstream: cfg.Upstream, Aliases: cfg.Aliases, Hasher: cfg.Hasher,
+	})
+	common, err := newBase(cfg.Config, view.Ready, a.core.SetView)
+	if err != nil {
+		return nil, err
+	}
+	a.base = common
+	return a, nil
+}
+
+// Run serves until the context ends.
+func (a *Agent) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	a.start(ctx, group)
+	group.Go(func() error { return a.transport.closeOn(ctx) })
+	group.Go(func() error { <-ctx.Done(); return a.device.Close() })
+	group.Go(func() error { return a.transport.receive(a.newWorker()) })
+	group.Go(a.readUpstream)
+	group.Go(func() error { return a.tick(ctx) })
+	return group.Wait()
+}
+
+func (a *Agent) tick(ctx context.Context) error {
+	w := a.newWorker()
+	ticker := time.NewTicker(agentTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			w.actions.Clear()
+			a.core.Tick(now, &w.actions)
+			w.execute(nil, nil)
+			w.batchEnd()
+		}
+	}
+}
+
+// readUpstream handles packets of the upstream until the device is closed.
+func (a *Agent) readUpstream() error {
+	w := a.newWorker()
+	buffer := make([]byte, packetBufferBytes)
+	for {
+		n, err := a.device.ReadPacket(buffer)
+		if errors.Is(err, os.ErrClosed) || udplink.Closed(err) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("read upstream packets: %w", err)
+		}
+		w.fromUpstream(buffer[:n])
+	}
+}
+
+// worker is the state of one goroutine that handles packets.
+type worker struct {
+	a       *Agent
+	parser  packet.Parser
+	meta    packet.Meta
+	actions agent.Actions
+	queue   *udplink.Queue
+}
+
+func (a *Agent) newWorker() *worker { return &worker{a: a, queue: a.transport.link.NewQueue()} }
+
+// packet implements receiver.
+func (w *worker) packet(h *frame.Header, body []byte) {
+	if err := w.parser.Parse(body, &w.meta); err != nil {
+		w.a.transport.countPacket(err)
+		return
+	}
+	w.actions.Clear()
+	header, span := w.startSpan(h)
+	w.a.core.HandleFrame(time.Now(), header, &w.meta, &w.actions)
+	w.endSpan(span)
+	w.execute(header, body)
+}
+
+func (w *worker) message(_ netip.AddrPort, m *peer.Message) {
+	w.actions.Clear()
+	w.a.core.HandlePeer(time.Now(), m, &w.actions)
+	w.execute(nil, nil)
+}
+
+func (w *worker) gossip(from netip.AddrPort, body []byte) { w.a.liveness.handle(from, body) }
+
+func (w *worker) batchEnd() {
+	if err := w.queue.Flush(); err != nil {
+		w.a.transport.count("drop.send")
+	}
+}
+
+func (w *worker) fromUpstream(p []byte) {
+	err := w.parser.Parse(p, &w.meta)
+	if err == nil {
+		err = packet.DecrementTTL(p)
+	}
+	if err != nil {
+		w.a.transport.countPacket(err)
+		return
+	}
+	w.actions.Clear()
+	w.a.core.HandleUpstream(time.Now(), &w.meta, &w.actions)
+	w.execute(nil, p)
+	w.batchEnd()
+}
--- /dev/null
+++ b/internal/node/balancer.go
@@ -0,0 +1,222 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/attribute"
+	"golang.org/x/sync/errgroup"
+
+	"bramleyhold.example/bramleyhold/internal/balancer"
+	"bramleyhold.example/bramleyhold/internal/frame"
+	"bramleyhold.example/bramleyhold/internal/packet"
+	"bramleyhold.example/bramleyhold/internal/peer"
+	"bramleyhold.example/bramleyhold/internal/udplink"
+	"bramleyhold.example/bramleyhold/internal/view"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+// quietBeforeStop is how long no packet may have come before a stopping
+// balancer ends.
+const quietBeforeStop = 5 * time.Second
+
+// Balancer runs one balancer.
+type Balancer struct {
+	*base
+	core       *balancer.Core
+	device     Device
+	lastPacket atomic.Int64
+	openings   atomic.Uint64
+	stopping   atomic.Bool
+}
+
+// NewBalancer opens the frame link. Run must be called to start.
+func NewBalancer(cfg Config, device Device) (*Balancer, error) {
+	cfg.Role = vm.RoleBalancer
+	b := &Balancer{device: device, core: balancer.New(balancer.Config{VM: cfg.VM, Hasher: cfg.Hasher})}
+	common, err := newBase(cfg, view.Ready, b.core.SetView)
+	if err != nil {
+		return nil, err
+	}
+	b.base = common
+	return b, nil
+}
+
+// Run forwards packets until the context ends.
+func (b *Balancer) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	b.start(ctx, group)
+	group.Go(func() error { return b.transport.closeOn(ctx) })
+	group.Go(func() error { <-ctx.Done(); return b.device.Close() })
+	group.Go(func() error { return b.transport.receive(&balancerReceiver{b}) })
+	group.Go(b.forward)
+	return group.Wait()
+}
+
+// Drain announces that the balancer is leaving and returns when no packet has
+// come for a while. It has no time limit of its own.
+func (b *Balancer) Drain(ctx context.Context) error {
+	b.stopping.Store(true)
+	b.lastPacket.Store(time.Now().UnixNano())
+	b.liveness.announce(view.Leaving)
+	ticker := time.NewTicker(quietBeforeStop / 10)
+	defer ticker.Stop()
+	for b.quietFor() < quietBeforeStop {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	b.liveness.announce(view.Left)
+	return nil
+}
+
+func (b *Balancer) quietFor() time.Duration {
+	return time.Since(time.Unix(0, b.lastPacket.Load()))
+}
+
+// Stopping reports whether Drain was called.
+func (b *Balancer) Stopping() bool { return b.stopping.Load() }
+
+// WaitingFor says what a stopping balancer still waits for.
+func (b *Balancer) WaitingFor() string {
+	if !b.Stopping() {
+		return ""
+	}
+	return fmt.Sprintf("no packet for %s (last one %s ago)", quietBeforeStop, b.quietFor().Round(time.Millisecond))
+}
+
+// forward handles packets of callers until the device is closed.
+func (b *Balancer) forward() error {
+	f := &forwarder{b: b, queue: b.transport.link.NewQueue(), forwarded: metrics.GetOrRegisterCounter("forwarded", b.cfg.Metrics)}
+	buffer := make([]byte, packetBufferBytes)
+	for {
+		n, err := b.device.ReadPacket(buffer)
+		if errors.Is(err, os.ErrClosed) || udplink.Closed(err) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("read packets: %w", err)
+		}
+		f.handle(buffer[:n])
+		if err := f.queue.Flush(); err != nil {
+			b.transport.count("drop.send")
+		}
+	}
+}
+
+// forwarder is the state of one forwarding goroutine.
+type forwarder struct {
+	b         *Balancer
+	parser    packet.Parser
+	meta      packet.Meta
+	decision  balancer.Decision
+	queue     *udplink.Queue
+	forwarded metrics.Counter
+}
+
+func (f *forwarder) handle(p []byte) {
+	b := f.b
+	now := time.Now()
+	b.lastPacket.Store(now.UnixNano())
+	if err := f.accept(p); err != nil {
+		b.transport.countPacket(err)
+		return
+	}
+	b.core.Decide(now, &f.meta, &f.decision)
+	switch f.decision.Verdict {
+	case balancer.Send:
+		f.send(p)
+	case balancer.Reset:
+		b.transport.count("reset." + string(f.decision.Reason))
+		f.reset(p)
+	default:
+		b.transport.count("drop." + string(f.decision.Reason))
+	}
+}
+
+func (f *forwarder) accept(p []byte) error {
+	if err := f.parser.Parse(p, &f.meta); err != nil {
+		return err
+	}
+	return packet.DecrementTTL(p)
+}
+
+func (f *forwarder) send(p []byte) {
+	f.trace()
+	if len(p) > udplink.MaxDatagram-frame.MaxOverhead {
+		f.b.transport.count("drop.oversize")
+		return
+	}
+	sealed, err := f.b.cfg.Keys.Seal(f.queue.Next(), &f.decision.Header, p)
+	if err != nil {
+		f.b.transport.count("drop.seal")
+		return
+	}
+	if err := f.queue.Add(sealed, f.decision.To.Address); err != nil {
+		f.b.transport.count("drop.send")
+		return
+	}
+	f.forwarded.Inc(1)
+}
+
+// trace starts a trace for one of so many openings.
+func (f *forwarder) trace() {
+	every := uint64(f.b.cfg.TraceEvery)
+	if every == 0 || !f.meta.Opening() || f.b.openings.Add(1)%every != 0 {
+		return
+	}
+	context, span := f.b.cfg.Tracer.Start("balancer.opening",
+		attribute.String("vm", string(f.b.cfg.VM)), attribute.String("flow", f.meta.CallerKey().String()),
+		attribute.String("service", string(f.decision.Service.Name)), attribute.String("to", string(f.decision.To.VM)))
+	f.decision.Header.Trace = context
+	if span != nil {
+		span.End()
+	}
+}
+
+func (f *forwarder) reset(p []byte) {
+	answer, err := packet.BuildReset(p, &f.meta)
+	if err != nil {
+		return
+	}
+	if err := f.b.device.WritePacket(answer); err != nil {
+		f.b.transport.count("drop.device")
+	}
+}
+
+// countPacket counts a packet that was not accepted.
+func (t *transport) countPacket(err error) {
+	var rejected *packet.Error
+	if errors.As(err, &rejected) {
+		t.count("drop.packet." + string(rejected.Reason))
+	}
+}
+
+// balancerReceiver takes the hints of agents.
+type balancerReceiver struct {
+	b *Balancer
+}
+
+func (r *balancerReceiver) packet(*frame.Header, []byte) {
+	r.b.transport.count("drop.unexpected_packet")
+}
+
+func (r *balancerReceiver) message(_ netip.AddrPort, m *peer.Message) {
+	if m.Hint == nil {
+		r.b.transport.count("drop.unexpected_message")
+		return
+	}
+	r.b.core.HandleHint(m.Hint)
+}
+
+func (r *balancerReceiver) gossip(from netip.AddrPort, body []byte) { r.b.liveness.handle(from, body) }
+
+func (r *balancerReceiver) batchEnd() {}
--- /dev/null
+++ b/internal/node/base.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"bramleyhold.example/bramleyhold/internal/view"
+)
+
+// base is what balancers and agents have in common: transport, membership,
+// intent feed and the view that is built from both.
+type base struct {
+	cfg       Config
+	transport *transport
+	liveness  *liveness
+	feed      *feed
+	setView   func(*view.View)
+
+	mu       sync.Mutex
+	previous *view.View
+	rebuild  chan struct{}
+}
+
+func newBase(cfg Config, status view.Status, setView func(*view.View)) (*base, error) {
+	cfg.setDefaults()
+	b := &base{cfg: cfg, setView: setView, rebuild: make(chan struct{}, 1)}
+	t, err := openTransport(&b.cfg)
+	if err != nil {
+		return nil, fmt.Errorf("frame link: %w", err)
+	}
+	b.cfg.Address = t.link.Address()
+	b.transport = t
+	b.liveness = newLiveness(t, &b.cfg, status, b.requestRebuild)
+	b.feed, err = newFeed(&b.cfg, b.requestRebuild)
+	if err != nil {
+		_ = t.link.Close()
+		return nil, err
+	}
+	b.buildView()
+	return b, nil
+}
+
+func (b *base) requestRebuild() {
+	select {
+	case b.rebuild <- struct{}{}:
+	default:
+	}
+}
+
+// buildView joins the latest intent with the latest members.
+func (b *base) buildView() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	state := b.feed.current()
+	if state.Revision == 0 {
+		return
+	}
+	b.previous = view.Build(state, b.liveness.members(), b.previous, time.Now())
+	b.setView(b.previous)
+}
+
+// viewInterval bounds how often the view is built while many members change.
+const viewInterval = 20 * time.Millisecond
+
+func (b *base) runViews(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-b.rebuild:
+		}
+		b.buildView()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(viewInterval):
+		}
+	}
+}
+
+// start runs the common parts in the group until the context ends.
+func (b *base) start(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { return b.liveness.run(ctx) })
+	group.Go(func() error { return b.runViews(ctx) })
+	if len(b.cfg.Control) > 0 {
+		group.Go(func() error { return b.feed.run(ctx) })
+	}
+}
--- /dev/null
+++ b/internal/node/intentfile.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"bramleyhold.example/bramleyhold/internal/intent"
+)
+
+const intentFileName = "intent.json"
+
+// intentFile keeps the last applied intent, so that a node that restarts while
+// control is unreachable goes on with it.
+type intentFile struct {
+	folder string
+}
+
+func newIntentFile(folder string) *intentFile { return &intentFile{folder: folder} }
+
+func (f *intentFile) path() string { return filepath.Join(f.folder, intentFileName) }
+
+// load returns the saved state, or nil if there is none.
+func (f *intentFile) load() (*intent.State, error) {
+	b, err := os.ReadFile(f.path())
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read saved intent: %w", err)
+	}
+	var s intent.State
+	if err := json.Unmarshal(b, &s); err != nil {
+		return nil, fmt.Errorf("saved intent %s is damaged (delete it; the node gets it from control): %w", f.path(), err)
+	}
+	return &s, nil
+}
+
+// save replaces the file. It lasts once the folder is synced.
+func (f *intentFile) save(s *intent.State) error {
+	b, err := json.Marshal(s)
+	if err != nil {
+		return fmt.Errorf("encode intent: %w", err)
+	}
+	return replaceFile(f.folder, intentFileName, b)
+}
+
+// replaceFile writes a file so that after a crash either the old or the new
+// content is there.
+func replaceFile(folder, name string, content []byte) error {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return fmt.Errorf("data folder: %w", err)
+	}
+	temporary, err := os.CreateTemp(folder, name+".*")
+	if err != nil {
+		return fmt.Errorf("create %s: %w", name, err)
+	}
+	defer func() { _ = os.Remove(temporary.Name()) }()
+	_, err = temporary.Write(content)
+	if err == nil {
+		err = temporary.Sync()
+	}
+	if closeErr := temporary.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return fmt.Errorf("write %s: %w", name, err)
+	}
+	if err := os.Rename(temporary.Name(), filepath.Join(folder, name)); err != nil {
+		return fmt.Errorf("replace %s: %w", name, err)
+	}
+	return syncFolder(folder)
+}
+
+func syncFolder(folder string) error {
+	d, err := os.Open(folder)
+	if err != nil {
+		return fmt.Errorf("open data folder: %w", err)
+	}
+	defer func() { _ = d.Close() }()
+	if err := d.Sync(); err != nil {
+		return fmt.Errorf("sync data folder: %w", err)
+	}
+	return nil
+}
--- a/internal/packet/packet_test.go
+++ b/internal/packet/packet_test.go
@@ -106,7 +106,7 @@
 	}
 	b := tcpPacket(t, caller4, virtual4, nil)
 	require.NoError(t, DecrementTTL(b))
-	var sum uint32 = partialSum(b[:20])
+	sum := partialSum(b[:20])
 	require.Equal(t, uint32(0xffff), sum>>16+sum&0xffff)
 }
 
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -37,6 +37,12 @@
 	return jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(m.dispatch).SuppressErrClosed())
 }
 
+// SerialHandler returns a handler that answers one request at a time in the
+// order of arrival, as a subscriber needs it.
+func (m Methods) SerialHandler() Handler {
+	return jsonrpc2.HandlerWithError(m.dispatch).SuppressErrClosed()
+}
+
 func (m Methods) dispatch(ctx context.Context, conn *Conn, req *jsonrpc2.Request) (any, error) {
 	handle, ok := m[req.Method]
 	if !ok {
