ctl: bramleyctl with inventory, rules, status and history

Cause: operators had no way to import an inventory or to set rules. Change: bramleyctl with inventory import and check, service traffic and contract, vm leave and return, status and history, as text or JSON. All invalid settings are reported together. Each change carries an operation id and the base revision that it read; lost answers are retried with the same id against the other control addresses within the budget of internal/retry, and the leader is followed. Outcomes have their own exit codes.

--- /dev/null
+++ b/cmd/bramleyctl/main.go
@@ -0,0 +1,19 @@
+// Command bramleyctl is the command line of operators.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"bramleyhold.example/bramleyhold/internal/ctl"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return ctl.Run(ctx, os.Args, os.Stdout, os.Stderr)
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -66,6 +66,11 @@
 // DefaultQueueDeadline bounds how long an opening waits for a free slot.
 const DefaultQueueDeadline = 2 * time.Second
 
+// MaxQueueDeadline bounds the queue deadline of a contract. Common callers give
+// up connecting within 30 s; a longer queue holds work for callers that have
+// gone.
+const MaxQueueDeadline = 30 * time.Second
+
 // Contract is what a service and the load balancer agree on.
 type Contract struct {
 	Idempotent    bool          `json:"idempotent"`
