--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -2,19 +2,24 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"bramleyhold.example/bramleyhold/internal/agent"
+	"bramleyhold.example/bramleyhold/internal/controlapi"
 	"bramleyhold.example/bramleyhold/internal/frame"
 	"bramleyhold.example/bramleyhold/internal/packet"
 	"bramleyhold.example/bramleyhold/internal/peer"
+	"bramleyhold.example/bramleyhold/internal/rpc"
+	"bramleyhold.example/bramleyhold/internal/telemetry"
 	"bramleyhold.example/bramleyhold/internal/udplink"
 	"bramleyhold.example/bramleyhold/internal/view"
 	"bramleyhold.example/bramleyhold/internal/vm"
@@ -38,6 +43,8 @@
 	core   *agent.Core
 	device Device
 
+	stopping atomic.Bool
+
 	mu   sync.Mutex
 	held map[uint64]heldPacket
 }
@@ -163,3 +170,78 @@
 	w.execute(nil, p)
 	w.batchEnd()
 }
+
+// ReadyMembers returns how many members of the service take work in the view
+// of this agent.
+func (a *Agent) ReadyMembers() int {
+	svc := a.latest().ServiceByName(a.cfg.Service)
+	if svc == nil {
+		return 0
+	}
+	ready := 0
+	for i := range svc.Members {
+		if svc.Members[i].TakesWork() {
+			ready++
+		}
+	}
+	return ready
+}
+
+// drainPoll is how often a draining agent looks whether its flows have ended.
+const drainPoll = 100 * time.Millisecond
+
+// Drain announces that the upstream is leaving and returns when its last flow
+// has ended. It has no time limit of its own.
+func (a *Agent) Drain(ctx context.Context) error {
+	a.stopping.Store(true)
+	a.liveness.announce(view.Leaving)
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for {
+		if established, halfOpen := a.core.Flows(); established+halfOpen == 0 {
+			a.liveness.announce(view.Left)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// WaitingFor says what a stopping agent still waits for.
+func (a *Agent) WaitingFor() string {
+	if !a.stopping.Load() {
+		return ""
+	}
+	established, halfOpen := a.core.Flows()
+	return fmt.Sprintf("%d established and %d half-open flows to end", established, halfOpen)
+}
+
+// Health says whether the agent serves its upstream.
+func (a *Agent) Health() telemetry.Health { return a.health(a.stopping.Load()) }
+
+// Methods returns the jsonrpc2 methods for operators.
+func (a *Agent) Methods() rpc.Methods {
+	return rpc.Methods{
+		controlapi.EventsList: a.events,
+		controlapi.StatusGet: func(context.Context, *rpc.Conn, json.RawMessage) (any, error) {
+			return a.agentStatus(), nil
+		},
+		controlapi.ExplainFlow: func(_ context.Context, _ *rpc.Conn, params json.RawMessage) (any, error) {
+			request, err := rpc.Decode[controlapi.ExplainRequest](params)
+			if err != nil {
+				return nil, err
+			}
+			return a.explain(request), nil
+		},
+	}
+}
+
+func (a *Agent) agentStatus() controlapi.Status {
+	status := a.status(a.WaitingFor())
+	established, halfOpen := a.core.Flows()
+	status.Upstream = &controlapi.UpstreamStatus{Service: a.cfg.Service, Flows: established, HalfOpen: halfOpen}
+	return status
+}
--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -14,9 +15,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"bramleyhold.example/bramleyhold/internal/balancer"
+	"bramleyhold.example/bramleyhold/internal/controlapi"
 	"bramleyhold.example/bramleyhold/internal/frame"
 	"bramleyhold.example/bramleyhold/internal/packet"
 	"bramleyhold.example/bramleyhold/internal/peer"
+	"bramleyhold.example/bramleyhold/internal/rpc"
+	"bramleyhold.example/bramleyhold/internal/telemetry"
 	"bramleyhold.example/bramleyhold/internal/udplink"
 	"bramleyhold.example/bramleyhold/internal/view"
 	"bramleyhold.example/bramleyhold/internal/vm"
@@ -220,3 +224,23 @@
 func (r *balancerReceiver) gossip(from netip.AddrPort, body []byte) { r.b.liveness.handle(from, body) }
 
 func (r *balancerReceiver) batchEnd() {}
+
+// Health says whether the fabric should send packets here.
+func (b *Balancer) Health() telemetry.Health { return b.health(b.Stopping()) }
+
+// Methods returns the jsonrpc2 methods for operators.
+func (b *Balancer) Methods() rpc.Methods {
+	return rpc.Methods{
+		controlapi.EventsList: b.events,
+		controlapi.StatusGet: func(context.Context, *rpc.Conn, json.RawMessage) (any, error) {
+			return b.status(b.WaitingFor()), nil
+		},
+		controlapi.ExplainFlow: func(_ context.Context, _ *rpc.Conn, params json.RawMessage) (any, error) {
+			request, err := rpc.Decode[controlapi.ExplainRequest](params)
+			if err != nil {
+				return nil, err
+			}
+			return b.explain(request), nil
+		},
+	}
+}
--- a/internal/node/base.go
+++ b/internal/node/base.go
@@ -90,3 +90,10 @@
 		group.Go(func() error { return b.feed.run(ctx) })
 	}
 }
+
+// latest returns the view that was built last, or nil.
+func (b *base) latest() *view.View {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.previous
+}
--- /dev/null
+++ b/internal/nodecmd/settings.go
@@ -0,0 +1,81 @@
+package nodecmd
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+
+	"bramleyhold.example/bramleyhold/internal/finding"
+	"bramleyhold.example/bramleyhold/internal/node"
+	"bramleyhold.example/bramleyhold/internal/settings"
+)
+
+// Node holds the settings of every node.
+type Node struct {
+	Address    netip.AddrPort   `flag:"address" validate:"required"`
+	Control    []string         `flag:"control" validate:"required"`
+	Seeds      []netip.AddrPort `flag:"seeds" validate:"required"`
+	Admin      string           `flag:"admin-address" validate:"omitempty,listen"`
+	Keys       string           `flag:"keys" validate:"required,dir"`
+	TunnelMTU  int              `flag:"tunnel-mtu" validate:"gte=576,lte=8900"`
+	TraceEvery int              `flag:"trace-every" validate:"gte=0"`
+	TraceFile  string           `flag:"trace-file"`
+	Device     string           `flag:"device" validate:"required,max=15"`
+}
+
+// Register implements settings.Group.
+func (n *Node) Register(s *settings.Set) {
+	settings.Text(s, &n.Address, "address", "", "UDP address of frames and gossip: IP:port")
+	settings.Strings(s, &n.Control, "control", "", "jsonrpc2 addresses of the control VMs: host:port,…")
+	settings.Add(s, &n.Seeds, "seeds", "", "gossip addresses of the control VMs: IP:port,…", parseAddresses)
+	settings.String(s, &n.Admin, "admin-address", "", "address of the jsonrpc2 methods for operators")
+	settings.String(s, &n.Keys, "keys", "", "folder with the certificate and the frame keys of this VM")
+	settings.Int(s, &n.TunnelMTU, "tunnel-mtu", fmt.Sprint(node.DefaultTunnelMTU), "largest packet that is sent in a frame, in bytes")
+	settings.Int(s, &n.TraceEvery, "trace-every", "1000", "one of so many openings is traced; 0 traces none")
+	settings.String(s, &n.TraceFile, "trace-file", "", "file to which finished spans are appended as JSON; none if empty")
+	settings.String(s, &n.Device, "device", "bram0", "name of the TUN device")
+	s.Check(n.check)
+}
+
+func (n *Node) check(l *finding.List) {
+	for _, address := range n.Control {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			l.Errorf(settings.Place("control"), "%q: want host:port", address)
+		}
+	}
+	if n.Address.IsValid() && n.Address.Addr().IsUnspecified() {
+		l.Errorf(settings.Place("address"), "%s: other VMs cannot reach an unspecified address", n.Address)
+	}
+}
+
+func parseAddresses(text string) ([]netip.AddrPort, error) {
+	if text == "" {
+		return nil, nil
+	}
+	var list []netip.AddrPort
+	for item := range strings.SplitSeq(text, ",") {
+		address, err := netip.ParseAddrPort(item)
+		if err != nil {
+			return nil, fmt.Errorf("%q: want IP:port", item)
+		}
+		list = append(list, address)
+	}
+	return list, nil
+}
+
+// ParsePrefixes reads a comma-separated list of prefixes.
+func ParsePrefixes(text string) ([]netip.Prefix, error) {
+	if text == "" {
+		return nil, nil
+	}
+	var list []netip.Prefix
+	for item := range strings.SplitSeq(text, ",") {
+		prefix, err := netip.ParsePrefix(item)
+		if err != nil {
+			return nil, fmt.Errorf("%q: want address/bits", item)
+		}
+		list = append(list, prefix)
+	}
+	return list, nil
+}
