Control role: consensus core, log store, server and bramley-control

Cause: intent needs a durable, replicated home that operators and nodes can reach. IntentUpdate.Advance applies updates in order and never goes back.

--- /dev/null
+++ b/cmd/bramley-control/main.go
@@ -0,0 +1,32 @@
+// Command bramley-control runs one control replica.
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"bramleyhold.example/bramleyhold/internal/settings"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	code := run(ctx, os.Args, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run is main with its inputs and outputs as parameters.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	process, tls, control := &settings.Process{}, &settings.TLS{}, &controlSettings{}
+	set := settings.NewSet(process, tls, control)
+	checkTogether(set, process, control)
+	command := &cli.Command{Name: program, Usage: "runs one replica of the control role", Writer: stdout}
+	return settings.Run(ctx, args, stderr, command, set, func(ctx context.Context) error {
+		return serve(ctx, stderr, process, tls, control)
+	})
+}
--- /dev/null
+++ b/cmd/bramley-control/settings.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"bramleyhold.example/bramleyhold/internal/finding"
+	"bramleyhold.example/bramleyhold/internal/settings"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+// replicaCounts are the sizes of the first configuration that survive the loss
+// of a minority; seven bounds the cost of a commit.
+var replicaCounts = []int{1, 3, 5, 7}
+
+// controlSettings holds the settings that only bramley-control has.
+type controlSettings struct {
+	Listen          string           `flag:"listen" validate:"listen"`
+	Peers           map[vm.ID]string `flag:"peers" validate:"required"`
+	ElectionTimeout time.Duration    `flag:"election-timeout" validate:"gte=100ms,lte=1m"`
+	Heartbeat       time.Duration    `flag:"heartbeat" validate:"gte=10ms"`
+	RequestTimeout  time.Duration    `flag:"request-timeout" validate:"gte=100ms"`
+}
+
+// Register implements settings.Group.
+func (c *controlSettings) Register(s *settings.Set) {
+	settings.String(s, &c.Listen, "listen", "127.0.0.1:7400", "address of the jsonrpc2 methods")
+	settings.Add(s, &c.Peers, "peers", "", "control VMs of the first start, including this one: name=host:port,…", parsePeers)
+	settings.Duration(s, &c.ElectionTimeout, "election-timeout", "1s", "shortest time without a leader before an election")
+	settings.Duration(s, &c.Heartbeat, "heartbeat", "200ms", "interval at which a leader contacts the other replicas")
+	settings.Duration(s, &c.RequestTimeout, "request-timeout", "5s", "how long a request waits for a majority")
+}
+
+func parsePeers(text string) (map[vm.ID]string, error) {
+	if text == "" {
+		return nil, nil
+	}
+	peers := map[vm.ID]string{}
+	for item := range strings.SplitSeq(text, ",") {
+		name, address, ok := strings.Cut(item, "=")
+		if !ok || name == "" {
+			return nil, fmt.Errorf("%q: want name=host:port", item)
+		}
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return nil, fmt.Errorf("%q: want name=host:port", item)
+		}
+		if _, ok := peers[vm.ID(name)]; ok {
+			return nil, fmt.Errorf("%q appears twice", name)
+		}
+		peers[vm.ID(name)] = address
+	}
+	if !slices.Contains(replicaCounts, len(peers)) {
+		return nil, errors.New("want 1, 3, 5 or 7 control VMs")
+	}
+	return peers, nil
+}
+
+// checkTogether reports what is wrong between settings.
+func checkTogether(s *settings.Set, p *settings.Process, c *controlSettings) {
+	s.Check(func(l *finding.List) {
+		if _, ok := c.Peers[p.VM]; len(c.Peers) > 0 && p.VM != "" && !ok {
+			l.Errorf(settings.Place("peers"), "this VM %q is missing", p.VM)
+		}
+		if p.DataFolder == "" {
+			l.Errorf(settings.Place("data-folder"), "is required")
+		}
+		if c.Heartbeat > 0 && c.ElectionTimeout > 0 && c.ElectionTimeout < 3*c.Heartbeat {
+			l.Errorf(settings.Place("heartbeat"), "%s: must be at most a third of the election timeout %s", c.Heartbeat, c.ElectionTimeout)
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/subscribe.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"bramleyhold.example/bramleyhold/internal/controlapi"
+	"bramleyhold.example/bramleyhold/internal/rpc"
+	"bramleyhold.example/bramleyhold/internal/view"
+)
+
+// announceForwarded records an announcement that another replica has checked.
+func (s *Server) announceForwarded(params json.RawMessage) (any, error) {
+	member, err := rpc.Decode[view.Member](params)
+	if err != nil {
+		return nil, err
+	}
+	return s.members.announce(s.replica.view().machine.State, member, time.Now()), nil
+}
+
+// handleSubscribe answers with what the subscriber lacks now, and notifies it
+// of later revisions on the same connection.
+func (s *Server) handleSubscribe(ctx context.Context, conn *rpc.Conn, params json.RawMessage) (any, error) {
+	request, err := rpc.Decode[controlapi.SubscribeRequest](params)
+	if err != nil {
+		return nil, err
+	}
+	update := s.replica.view().machine.update(request.Revision)
+	return rpc.WithFollowUp{Result: update, Then: func() {
+		go s.notify(s.replaceSubscription(ctx, conn), conn, update.ToRevision)
+	}}, nil
+}
+
+// replaceSubscription ends the earlier subscription of a connection, if any, so
+// that a subscriber that starts again does not get every update twice.
+func (s *Server) replaceSubscription(ctx context.Context, conn *rpc.Conn) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if earlier, ok := s.subscriptions[conn]; ok {
+		earlier()
+	}
+	s.subscriptions[conn] = cancel
+	return ctx
+}
+
+func (s *Server) forgetSubscription(conn *rpc.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cancel, ok := s.subscriptions[conn]; ok {
+		cancel()
+		delete(s.subscriptions, conn)
+	}
+}
+
+// notify sends updates in order until the connection ends. There is no queue:
+// a subscriber that reads slowly gets one update for all revisions that were
+// accepted in the meantime.
+func (s *Server) notify(ctx context.Context, conn *rpc.Conn, revision uint64) {
+	subscribers := metrics.GetOrRegisterCounter("control.subscribers", s.registry)
+	subscribers.Inc(1)
+	defer subscribers.Dec(1)
+	for {
+		v := s.replica.view()
+		if update := v.machine.update(revision); update.ToRevision > revision {
+			if conn.Notify(ctx, controlapi.IntentUpdated, update) != nil {
+				_ = conn.Close()
+				s.forgetSubscription(conn)
+				return
+			}
+			revision = update.ToRevision
+			s.countUpdate(update)
+		}
+		select {
+		case <-v.changed:
+		case <-ctx.Done():
+			return
+		case <-conn.DisconnectNotify():
+			s.forgetSubscription(conn)
+			return
+		case <-s.replica.stopped:
+			return
+		}
+	}
+}
+
+func (s *Server) countUpdate(update controlapi.IntentUpdate) {
+	kind := "control.updates.delta"
+	if update.Snapshot != nil {
+		kind = "control.updates.snapshot"
+	}
+	metrics.GetOrRegisterCounter(kind, s.registry).Inc(1)
+}
--- a/internal/controlapi/api.go
+++ b/internal/controlapi/api.go
@@ -5,6 +5,7 @@
 package controlapi
 
 import (
+	"encoding/json"
 	"net/netip"
 
 	"bramleyhold.example/bramleyhold/internal/event"
@@ -26,7 +27,8 @@
 	StatusGet       = "status.get"       // no parameters -> Status
 	EventsList      = "events.list"      // EventsRequest -> []event.Event
 	ExplainFlow     = "explain.flow"     // ExplainRequest -> Explanation
-	ReplicaMessage  = "replica.message"  // messages between control replicas
+	ReplicaMessage  = "replica.message"  // notification with ReplicaEnvelope between control replicas
+	ReplicaForward  = "replica.forward"  // ForwardRequest -> result of the forwarded method
 )
 
 // The jsonrpc2 error codes of this API.
@@ -71,6 +73,41 @@
 	Snapshot     *intent.State   `json:"snapshot,omitempty"`
 }
 
+// Advance returns the state after the update. A node that passes all updates
+// through it never goes back: what the state already has is skipped, and a gap
+// is reported as *intent.OrderError, after which the node subscribes again from
+// its revision. The given state may be nil and is not modified.
+func (u IntentUpdate) Advance(state *intent.State) (*intent.State, error) {
+	if state == nil {
+		state = &intent.State{}
+	}
+	if u.Snapshot != nil && u.Snapshot.Revision > state.Revision {
+		state = u.Snapshot
+	}
+	for _, change := range u.Changes {
+		if change.BaseRevision < state.Revision {
+			continue
+		}
+		next, err := intent.Replay(state, change)
+		if err != nil {
+			return nil, err
+		}
+		state = next
+	}
+	return state, nil
+}
+
+// ReplicaEnvelope carries one message between control replicas in CBOR.
+type ReplicaEnvelope struct {
+	Message []byte `json:"message"`
+}
+
+// ForwardRequest is a request that a replica passes to the leader.
+type ForwardRequest struct {
+	Method string          `json:"method"`
+	Params json.RawMessage `json:"params"`
+}
+
 // HistoryRequest asks for the latest rows.
 type HistoryRequest struct {
 	Limit int `json:"limit"`
--- a/internal/intent/change.go
+++ b/internal/intent/change.go
@@ -72,13 +72,14 @@
 	Outcome  Outcome `json:"outcome"`
 	Revision uint64  `json:"revision"`
 	Reason   string  `json:"reason,omitempty"`
-	// Winner is set on a conflict: the change that made the current revision.
+	// Winner is set on a conflict: the accepted change with the same base
+	// revision or, if its row is no longer kept, the latest one.
 	Winner *HistoryRow `json:"winner,omitempty"`
 }
 
 // Apply returns the state after a change and the answer to it. The given
 // state is not modified. A known operation id returns its first answer and
-// the same state.
+// the same state. A change without an operation id is not remembered.
 func Apply(s *State, c Change) (*State, Result) {
 	if r, ok := s.firstAnswer(c.OperationID); ok {
 		return s, r
@@ -89,7 +90,35 @@
 	return next, result
 }
 
+// Replay returns the state after a change that control has accepted. Unlike
+// Apply it does not look at operation ids: a node sees only accepted changes, so
+// its list of remembered ids differs from that of control and could answer a
+// reused id without applying the change.
+func Replay(s *State, c Change) (*State, error) {
+	if c.BaseRevision != s.Revision {
+		return nil, &OrderError{Revision: s.Revision, Base: c.BaseRevision}
+	}
+	next := s.Clone()
+	if result := next.decide(c); result.Outcome != Accepted {
+		return nil, &RuleError{Object: "change", Name: c.OperationID, Reason: result.Reason}
+	}
+	return next, nil
+}
+
+// OrderError reports a change that does not continue the state.
+type OrderError struct {
+	Revision uint64
+	Base     uint64
+}
+
+func (e *OrderError) Error() string {
+	return fmt.Sprintf("change on base revision %d cannot follow revision %d", e.Base, e.Revision)
+}
+
 func (s *State) firstAnswer(id string) (Result, bool) {
+	if id == "" {
+		return Result{}, false
+	}
 	for _, op := range s.Operations {
 		if op.ID == id {
 			return op.Result, true
@@ -115,14 +144,23 @@
 
 func (s *State) conflict(base uint64) Result {
 	r := Result{Outcome: Conflict, Revision: s.Revision, Reason: fmt.Sprintf("base revision is %d, current revision is %d", base, s.Revision)}
-	if n := len(s.History); n > 0 {
+	if n := len(s.History); n > 0 && base < s.Revision {
 		winner := s.History[n-1]
+		for _, row := range s.History {
+			if row.Revision == base+1 {
+				winner = row
+			}
+		}
 		r.Winner = &winner
 	}
 	return r
 }
 
-func (s *State) remember(op Operation) { s.Operations = appendBounded(s.Operations, op, maxOperations) }
+func (s *State) remember(op Operation) {
+	if op.ID != "" {
+		s.Operations = appendBounded(s.Operations, op, maxOperations)
+	}
+}
 
 func appendBounded[T any](list []T, item T, limit int) []T {
 	list = append(list, item)
--- a/internal/intent/state.go
+++ b/internal/intent/state.go
@@ -116,3 +116,11 @@
 	c.History = slices.Clone(s.History)
 	return &c
 }
+
+// WithoutRecords returns the state without operation ids and history, which
+// nodes do not need. The slices are shared with the state.
+func (s *State) WithoutRecords() *State {
+	c := *s
+	c.Operations, c.History = nil, nil
+	return &c
+}
--- /dev/null
+++ b/internal/intent/validate.go
@@ -0,0 +1,106 @@
+package intent
+
+import (
+	"fmt"
+
+	"bramleyhold.example/bramleyhold/internal/finding"
+	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+const (
+	// MaxServiceMembers bounds the upstreams of a service: a frame header has
+	// one bit per member.
+	MaxServiceMembers = 64
+	// maxNameLength bounds operation ids and names, in bytes.
+	maxNameLength = 128
+)
+
+// Validate returns everything that is wrong with a change, whatever the
+// current state is.
+func (c *Change) Validate() finding.List {
+	l := finding.List{}
+	checkName(&l, "change", "operation_id", c.OperationID)
+	if len(c.Operator) > maxNameLength {
+		l.Errorf(finding.Place{Object: "change", Field: "operator"}, "longer than %d bytes", maxNameLength)
+	}
+	switch {
+	case c.Kind == KindInventory && c.Inventory != nil:
+		c.Inventory.validate(&l)
+	case c.Kind == KindTraffic && c.Traffic != nil:
+		checkName(&l, "traffic", "service", string(c.Traffic.Service))
+	case c.Kind == KindLeaving && c.Leaving != nil:
+		checkName(&l, "leaving", "vm", string(c.Leaving.VM))
+	case c.Kind == KindContract && c.Contract != nil:
+		c.Contract.validate(&l)
+	default:
+		l.Errorf(finding.Place{Object: "change", Field: "kind"}, "%.20q: unknown kind or missing content", c.Kind)
+	}
+	return l
+}
+
+func checkName(l *finding.List, object, field, value string) {
+	if value == "" || len(value) > maxNameLength {
+		l.Errorf(finding.Place{Object: object, Field: field}, "length is %d bytes, want 1 to %d", len(value), maxNameLength)
+	}
+}
+
+func (r *ContractRule) validate(l *finding.List) {
+	checkName(l, "contract", "service", string(r.Service))
+	if s := r.Contract.Shape; s != service.ShortRequests && s != service.LongFlows {
+		l.Errorf(finding.Place{Object: "contract", Field: "shape"}, "%.20q: unknown shape", s)
+	}
+	if p := r.Contract.Priority; p != service.PreferSurvival && p != service.PreferBalance {
+		l.Errorf(finding.Place{Object: "contract", Field: "priority"}, "%.20q: unknown priority", p)
+	}
+	if r.Contract.QueueDeadline < 0 {
+		l.Errorf(finding.Place{Object: "contract", Field: "queue_deadline_ns"}, "is negative")
+	}
+}
+
+func (inv *Inventory) validate(l *finding.List) {
+	services := map[service.Name]bool{}
+	endpoints := map[service.Endpoint]service.Name{}
+	for _, s := range inv.Services {
+		object := fmt.Sprintf("service %.40q", s.Name)
+		checkName(l, object, "name", string(s.Name))
+		if services[s.Name] {
+			l.Errorf(finding.Place{Object: object, Field: "name"}, "appears twice")
+		}
+		services[s.Name] = true
+		if !s.Endpoint.Address.IsValid() || s.Endpoint.Protocol.Number() == 0 {
+			l.Errorf(finding.Place{Object: object, Field: "endpoint"}, "invalid address or protocol")
+		}
+		if other, ok := endpoints[s.Endpoint]; ok {
+			l.Errorf(finding.Place{Object: object, Field: "endpoint"}, "is also that of service %q", other)
+		}
+		endpoints[s.Endpoint] = s.Name
+	}
+	inv.validateMachines(l, services)
+}
+
+func (inv *Inventory) validateMachines(l *finding.List, services map[service.Name]bool) {
+	machines := map[vm.ID]bool{}
+	members := map[service.Name]int{}
+	for _, m := range inv.Machines {
+		object := fmt.Sprintf("vm %.40q", m.ID)
+		checkName(l, object, "id", string(m.ID))
+		if machines[m.ID] {
+			l.Errorf(finding.Place{Object: object, Field: "id"}, "appears twice")
+		}
+		machines[m.ID] = true
+		if !m.Role.Valid() {
+			l.Errorf(finding.Place{Object: object, Field: "role"}, "%.20q: unknown role", m.Role)
+		}
+		if m.Role != vm.RoleUpstream {
+			continue
+		}
+		if !services[m.Service] {
+			l.Errorf(finding.Place{Object: object, Field: "service"}, "%.40q is not in the inventory", m.Service)
+		}
+		members[m.Service]++
+		if members[m.Service] == MaxServiceMembers+1 {
+			l.Errorf(finding.Place{Object: fmt.Sprintf("service %.40q", m.Service)}, "more than %d upstreams", MaxServiceMembers)
+		}
+	}
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -25,45 +24,6 @@
 // Conn is one connection. Both sides can call and notify.
 type Conn = jsonrpc2.Conn
 
-// HandlerFunc answers one method. The result is marshalled to JSON.
-type HandlerFunc func(ctx context.Context, conn *Conn, params json.RawMessage) (any, error)
-
-// Methods maps method names to their handlers.
-type Methods map[string]HandlerFunc
-
-// Handler returns the jsonrpc2 handler of the methods. Requests of one
-// connection run concurrently.
-func (m Methods) Handler() Handler {
-	return jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(m.dispatch).SuppressErrClosed())
-}
-
-// SerialHandler returns a handler that answers one request at a time in the
-// order of arrival, as a subscriber needs it.
-func (m Methods) SerialHandler() Handler {
-	return jsonrpc2.HandlerWithError(m.dispatch).SuppressErrClosed()
-}
-
-func (m Methods) dispatch(ctx context.Context, conn *Conn, req *jsonrpc2.Request) (any, error) {
-	handle, ok := m[req.Method]
-	if !ok {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method}
-	}
-	var params json.RawMessage
-	if req.Params != nil {
-		params = *req.Params
-	}
-	return handle(ctx, conn, params)
-}
-
-// Decode unmarshals parameters into a request value.
-func Decode[T any](params json.RawMessage) (T, error) {
-	var value T
-	if err := json.Unmarshal(params, &value); err != nil {
-		return value, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
-	}
-	return value, nil
-}
-
 // Dial connects to a server. With a nil TLS configuration the connection is
 // plain TCP, which is meant for loopback only.
 func Dial(ctx context.Context, address string, config *tls.Config, handler Handler) (*Conn, error) {
@@ -78,12 +38,16 @@
 	}
 	// The connection outlives the dial context.
 	ctx = withPeer(context.WithoutCancel(ctx), raw)
-	return jsonrpc2.NewConn(ctx, stream(raw), handler), nil
+	return jsonrpc2.NewConn(ctx, stream(raw), handler, reportTo(func(error) {})), nil
 }
 
-func stream(raw net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(raw, jsonrpc2.VSCodeObjectCodec{})
-}
+// reporter passes what jsonrpc2 logs about a broken connection to a function.
+type reporter func(error)
+
+// Printf implements jsonrpc2.Logger.
+func (r reporter) Printf(format string, values ...any) { r(fmt.Errorf(format, values...)) }
+
+func reportTo(report func(error)) jsonrpc2.ConnOpt { return jsonrpc2.SetLogger(reporter(report)) }
 
 func secure(ctx context.Context, raw net.Conn, config *tls.Config, server bool) (net.Conn, error) {
 	if config == nil {
@@ -112,7 +76,9 @@
 	closed bool
 	conns  map[*Conn]struct{}
 	done   sync.WaitGroup
-	// OnReject is told about connections that failed the TLS handshake.
+	calls  calls
+	// onReject is told about connections that failed the TLS handshake or sent
+	// something that is not a message.
 	onReject func(error)
 }
 
@@ -153,7 +119,8 @@
 		s.onReject(err)
 		return
 	}
-	conn := jsonrpc2.NewConn(withPeer(ctx, secured), stream(secured), s.handler)
+	ctx = context.WithValue(withPeer(ctx, secured), callsKey{}, &s.calls)
+	conn := jsonrpc2.NewConn(ctx, stream(secured), s.handler, reportTo(s.onReject))
 	if !s.add(conn) {
 		_ = conn.Close()
 		return
@@ -178,9 +145,24 @@
 	delete(s.conns, conn)
 }
 
+// InProgress returns the number of requests in progress.
+func (s *Server) InProgress() int { return s.calls.inProgress() }
+
+// Shutdown stops accepting, waits until no request is in progress or the
+// context ends, and closes all connections. Connections that are already open
+// can still bring requests; handlers refuse them if they are to end soon.
+func (s *Server) Shutdown(ctx context.Context) error {
+	err := s.listener.Close()
+	waitErr := s.calls.wait(ctx)
+	return errors.Join(err, waitErr, s.Close())
+}
+
 // Close stops accepting, closes all connections and waits for them.
 func (s *Server) Close() error {
 	err := s.listener.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
 	s.mu.Lock()
 	s.closed = true
 	for conn := range s.conns {
