--- a/internal/control/methods.go
+++ b/internal/control/methods.go
@@ -107,6 +107,9 @@
 }
 
 func (s *Server) handleMembers(context.Context, *rpc.Conn, json.RawMessage) (any, error) {
+	if s.options.Members != nil {
+		return s.options.Members(), nil
+	}
 	return s.members.list(s.replica.view().machine.State, time.Now()), nil
 }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -17,6 +17,7 @@
 	"bramleyhold.example/bramleyhold/internal/event"
 	"bramleyhold.example/bramleyhold/internal/logstore"
 	"bramleyhold.example/bramleyhold/internal/rpc"
+	"bramleyhold.example/bramleyhold/internal/view"
 	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
@@ -38,6 +39,9 @@
 	Peers map[vm.ID]string
 	// Files is the data folder. The server closes it.
 	Files logstore.FileSystem
+	// Members returns what the membership knows; nil answers members.list from
+	// the announcements to this replica.
+	Members func() []view.Member
 	// ServerTLS and ClientTLS are nil for plain TCP on loopback.
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,10 +41,15 @@
 	mu        sync.Mutex
 	tasks     map[vm.ID]*task
 	balancers map[vm.ID]netip.AddrPort
-	agents    map[vm.ID]*node.Agent
+	nodes     map[vm.ID]viewer
 	servers   map[vm.ID]*standin.Upstream
 }
 
+// viewer is a node that decides on a view.
+type viewer interface {
+	ReadyMembers(name service.Name) int
+}
+
 // task is one part that runs until it is cancelled.
 type task struct {
 	cancel context.CancelFunc
@@ -60,7 +65,7 @@
 		keys:   &frame.Keys{Current: 1, Secrets: map[uint8]frame.Secret{1: secret}},
 		hasher: flow.Hasher{K0: plan.Seed + 3, K1: plan.Seed + 4},
 		tasks:  map[vm.ID]*task{}, balancers: map[vm.ID]netip.AddrPort{},
-		agents: map[vm.ID]*node.Agent{}, servers: map[vm.ID]*standin.Upstream{},
+		nodes: map[vm.ID]viewer{}, servers: map[vm.ID]*standin.Upstream{},
 	}
 }
 
@@ -117,6 +122,7 @@
 	f.mu.Lock()
 	t, ok := f.tasks[id]
 	delete(f.tasks, id)
+	delete(f.nodes, id)
 	f.mu.Unlock()
 	if !ok {
 		return nil
@@ -240,6 +246,9 @@
 	if err != nil {
 		return errors.Join(err, packets.Close())
 	}
+	f.mu.Lock()
+	f.nodes[id] = b
+	f.mu.Unlock()
 	f.run(ctx, id, b.Run)
 	f.setBalancer(id, packets.Address())
 	return nil
@@ -314,7 +323,7 @@
 		return errors.Join(err, device.Close())
 	}
 	f.mu.Lock()
-	f.agents[id] = a
+	f.nodes[id] = a
 	f.mu.Unlock()
 	f.run(ctx, id, a.Run)
 	return nil
@@ -346,7 +355,7 @@
 // settleInterval is how often WaitReady looks.
 const settleInterval = 50 * time.Millisecond
 
-// WaitReady waits until every agent sees all members of its service.
+// WaitReady waits until every node sees all members of all services.
 func (f *Fleet) WaitReady(ctx context.Context) error {
 	for {
 		if f.ready() {
@@ -363,15 +372,9 @@
 func (f *Fleet) ready() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, a := range f.agents {
-		if a.ReadyMembers() == 0 {
-			return false
-		}
-	}
-	for _, s := range f.Plan.Services {
-		for j := range s.Upstreams {
-			a := f.agents[upstreamName(s.Name, j)]
-			if a == nil || a.ReadyMembers() < s.Upstreams {
+	for _, n := range f.nodes {
+		for _, s := range f.Plan.Services {
+			if n.ReadyMembers(s.Name) < s.Upstreams {
 				return false
 			}
 		}
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -171,22 +171,6 @@
 	w.batchEnd()
 }
 
-// ReadyMembers returns how many members of the service take work in the view
-// of this agent.
-func (a *Agent) ReadyMembers() int {
-	svc := a.latest().ServiceByName(a.cfg.Service)
-	if svc == nil {
-		return 0
-	}
-	ready := 0
-	for i := range svc.Members {
-		if svc.Members[i].TakesWork() {
-			ready++
-		}
-	}
-	return ready
-}
-
 // drainPoll is how often a draining agent looks whether its flows have ended.
 const drainPoll = 100 * time.Millisecond
 
--- a/internal/node/base.go
+++ b/internal/node/base.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/view"
 )
 
@@ -97,3 +98,19 @@
 	defer b.mu.Unlock()
 	return b.previous
 }
+
+// ReadyMembers returns how many members of a service take work in the view of
+// this node.
+func (b *base) ReadyMembers(name service.Name) int {
+	svc := b.latest().ServiceByName(name)
+	if svc == nil {
+		return 0
+	}
+	ready := 0
+	for i := range svc.Members {
+		if svc.Members[i].TakesWork() {
+			ready++
+		}
+	}
+	return ready
+}
