--- a/internal/fleet/e2e_test.go
+++ b/internal/fleet/e2e_test.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -11,8 +13,12 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
+	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/standin"
+	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
 func startFleet(t *testing.T, plan Plan) *Fleet {
@@ -45,3 +51,83 @@
 	require.Contains(t, string(body), "answered by orders-")
 	require.Equal(t, int64(1), f.Served("orders-1")+f.Served("orders-2"))
 }
+
+const (
+	downloads       = 100
+	downloadBytes   = 2 << 20
+	downloadSeconds = 8
+)
+
+// download fetches one body over a connection of its own and checks its hash.
+func download(ctx context.Context, address string, seed int) (vm.ID, error) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	url := fmt.Sprintf("http://%s/download?bytes=%d&seed=%d&seconds=%d", address, downloadBytes, seed, downloadSeconds)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return "", err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	got := sha256.New()
+	if _, err := io.Copy(got, response.Body); err != nil {
+		return "", fmt.Errorf("download %d from %s: %w", seed, response.Header.Get("X-Upstream"), err)
+	}
+	want := sha256.New()
+	if _, err := io.CopyN(want, standin.NewBody(uint64(seed)), downloadBytes); err != nil {
+		return "", err
+	}
+	if string(got.Sum(nil)) != string(want.Sum(nil)) {
+		return "", fmt.Errorf("download %d: the body is not the one that was asked for", seed)
+	}
+	return vm.ID(response.Header.Get("X-Upstream")), nil
+}
+
+// Guards against planned changes that cut, repeat or mix up downloads: one
+// balancer and one agent restart and one upstream drains while 100 downloads
+// run through three balancers that get the packets at random.
+func TestDownloadsSurvivePlannedChanges(t *testing.T) {
+	f := startFleet(t, Plan{
+		Prefix: "btd", Network: 19, Control: 3, Balancers: 3, Folder: t.TempDir(), Seed: 2,
+		Services: []ServicePlan{{Name: "orders", Upstreams: 4, Slots: 60, Connections: 2000, Contract: service.DefaultContract()}},
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 90*time.Second)
+	defer cancel()
+	address := f.VirtualAddress("orders").String()
+	group, ctx := errgroup.WithContext(ctx)
+	for i := range downloads {
+		group.Go(func() error {
+			_, err := download(ctx, address, i)
+			return err
+		})
+	}
+	time.Sleep(time.Second)
+	require.NoError(t, f.StopBalancer(0))
+	require.NoError(t, f.StopPart("orders-1"))
+	require.NoError(t, f.StartAgent(ctx, "orders", 0, 0))
+	result, err := f.Propose(ctx, intent.Change{
+		OperationID: "drain", Kind: intent.KindLeaving, Leaving: &intent.LeavingRule{VM: "orders-2", Leaving: true},
+	})
+	require.NoError(t, err)
+	require.Equal(t, intent.Accepted, result.Outcome, result.Reason)
+	require.NoError(t, f.StartBalancer(ctx, 0))
+	const newWorkLimit = 3 * time.Second
+	time.Sleep(newWorkLimit)
+	for i := range 20 {
+		group.Go(func() error {
+			id, err := download(ctx, address, downloads+i)
+			if err == nil && id == "orders-2" {
+				err = fmt.Errorf("download %d was new work for a leaving upstream", downloads+i)
+			}
+			return err
+		})
+	}
+	require.NoError(t, group.Wait())
+	var served int64
+	for i := range 4 {
+		served += f.Served(upstreamName("orders", i))
+	}
+	require.Equal(t, int64(downloads+20), served, "a request ran more than once or not at all")
+}
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -16,8 +16,8 @@
 )
 
 // Upstream is an ordinary HTTP server that says who it is and offers bodies to
-// download. GET / names the server, GET /download?bytes=N&seed=S returns N
-// pseudo-random bytes, and GET /health its load.
+// download. GET / names the server, GET /download?bytes=N&seed=S&seconds=T
+// returns N pseudo-random bytes spread over T seconds, and GET /health its load.
 type Upstream struct {
 	id       vm.ID
 	slots    int
@@ -95,8 +95,15 @@
 		http.Error(w, "seed: want a number", http.StatusBadRequest)
 		return
 	}
+	seconds, _ := strconv.ParseFloat(r.URL.Query().Get("seconds"), 64)
 	w.Header().Set("Content-Length", strconv.Itoa(size))
 	w.Header().Set("X-Upstream", string(u.id))
+	pause := time.Duration(seconds * float64(time.Second) * chunkBytes / float64(max(size, 1)))
+	u.send(w, seed, size, pause)
+}
+
+// send writes the body in chunks with a pause after each.
+func (u *Upstream) send(w http.ResponseWriter, seed uint64, size int, pause time.Duration) {
 	body := NewBody(seed)
 	chunk := make([]byte, chunkBytes)
 	for size > 0 {
@@ -106,6 +113,7 @@
 			return
 		}
 		size -= n
+		time.Sleep(pause)
 	}
 }
 
