keys, ctl: cluster keys, explain, watch and example rules

Cause: processes had no certificates and frame keys, and operators could not see why a process acted as it did. Change: internal/keys makes the CA, certificates (role as organisational unit, VM as common name, addresses as IP SANs) and frame keys, loads them, and rotates frame keys in two steps, so that VMs before and after a step open each other's frames. bramleyctl gets keys, explain flow, explain events and watch. A process that does not answer is named. Each example has a rules script.

--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -54,6 +54,9 @@
 			a.vmCommands(),
 			a.statusCommand(),
 			a.historyCommand(),
+			a.explainCommands(),
+			a.watchCommand(),
+			a.keysCommands(),
 		},
 	}
 }
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -51,18 +51,17 @@
 func newClient(addresses []netip.AddrPort, config *tls.Config, rng *rand.Rand) *client {
 	c := &client{
 		config: config, rng: rng, now: time.Now, pause: pause, conns: map[string]*rpc.Conn{},
-		policy: &retry.Policy{
-			Budget:     retry.NewBudget(retryRatio, maxRetries),
-			Backoff:    retry.Backoff{Base: backoffBase, Max: backoffMax},
-			MinAttempt: minAttempt,
-		},
+		policy: &retry.Policy{Backoff: retry.Backoff{Base: backoffBase, Max: backoffMax}, MinAttempt: minAttempt},
 	}
+	c.setBudget(maxRetries)
 	for _, a := range addresses {
 		c.addresses = append(c.addresses, a.String())
 	}
 	return c
 }
 
+func (c *client) setBudget(retries float64) { c.policy.Budget = retry.NewBudget(retryRatio, retries) }
+
 func (c *client) close() {
 	for _, conn := range c.conns {
 		_ = conn.Close()
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -6,6 +6,7 @@
 
 	"bramleyhold.example/bramleyhold/internal/finding"
 	"bramleyhold.example/bramleyhold/internal/intent"
+	"bramleyhold.example/bramleyhold/internal/keys"
 )
 
 // The exit codes of bramleyctl.
@@ -93,13 +94,14 @@
 		conflict    *ConflictError
 		unavailable *UnavailableError
 		denied      *NotAuthorizedError
+		state       *keys.StateError
 	)
 	switch {
 	case err == nil:
 		return ExitOK, "ok"
 	case errors.As(err, &usage):
 		return ExitUsage, "usage"
-	case errors.As(err, &rejected):
+	case errors.As(err, &rejected), errors.As(err, &state):
 		return ExitRejected, "rejected"
 	case errors.As(err, &conflict):
 		return ExitConflict, "conflict"
--- a/internal/ctl/session.go
+++ b/internal/ctl/session.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"bramleyhold.example/bramleyhold/internal/finding"
+	"bramleyhold.example/bramleyhold/internal/keys"
 )
 
 const (
@@ -67,7 +68,7 @@
 		}
 		return nil
 	}
-	config, err := loadClientTLS(dir)
+	_, config, err := keys.LoadTLS(dir)
 	if err != nil {
 		in.fail("keys", "%v", err)
 	}
--- a/internal/inventory/rows.go
+++ b/internal/inventory/rows.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// MaxNameBytes bounds names, which are also common names of certificates
-	// (at most 64 bytes there).
-	MaxNameBytes = 63
 	// MaxSlots bounds the slots of one upstream.
 	MaxSlots = 4096
 	// MaxConnections bounds the connection limit of one upstream.
@@ -95,25 +92,14 @@
 	switch {
 	case text == "":
 		p.fail(r, colName, "name is missing")
-	case len(text) > MaxNameBytes:
-		p.fail(r, colName, "name has %d bytes: at most %d are allowed", len(text), MaxNameBytes)
-	case !validName(text):
+	case len(text) > vm.MaxNameBytes:
+		p.fail(r, colName, "name has %d bytes: at most %d are allowed", len(text), vm.MaxNameBytes)
+	case !vm.ValidName(text):
 		p.fail(r, colName, "name %q: want letters, digits, '.', '_' and '-', with a letter or digit first", text)
 	}
 	return text
 }
 
-func validName(text string) bool {
-	for i := range len(text) {
-		c := text[i]
-		alphanumeric := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
-		if !alphanumeric && (i == 0 || !strings.ContainsRune("._-", rune(c))) {
-			return false
-		}
-	}
-	return true
-}
-
 func (p *parser) address(r *row) netip.Addr {
 	text := r.text(colAddress)
 	if text == "" {
--- /dev/null
+++ b/internal/keys/authority.go
@@ -0,0 +1,243 @@
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"bramleyhold.example/bramleyhold/internal/rpc"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+const (
+	// AuthorityLifetime is how long the CA can issue certificates.
+	AuthorityLifetime = 10 * 365 * 24 * time.Hour
+	// CertificateLifetime is how long an issued certificate is valid.
+	CertificateLifetime = 365 * 24 * time.Hour
+	// clockSkew makes certificates valid on VMs whose clocks are behind.
+	clockSkew = 5 * time.Minute
+
+	certificateBlock = "CERTIFICATE"
+	keyBlock         = "PRIVATE KEY"
+)
+
+// Init makes the CA and the first frame key of a cluster. It refuses a folder
+// that already has one of the files.
+func Init(dir string, now time.Time) error {
+	if err := os.MkdirAll(dir, folderMode); err != nil {
+		return err
+	}
+	for _, name := range []string{caFile, caKeyFile, frameFile} {
+		path := filepath.Join(dir, name)
+		if _, err := os.Lstat(path); err == nil {
+			return &StateError{Path: path, Reason: "exists already; choose another folder or remove it"}
+		}
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return err
+	}
+	template := &x509.Certificate{
+		Subject:   pkix.Name{CommonName: "bramleyhold cluster CA"},
+		NotBefore: now.Add(-clockSkew), NotAfter: now.Add(AuthorityLifetime),
+		KeyUsage: x509.KeyUsageCertSign, IsCA: true, BasicConstraintsValid: true, MaxPathLenZero: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return err
+	}
+	keyText, err := encodeKey(key)
+	if err != nil {
+		return err
+	}
+	if err := writeFile(filepath.Join(dir, caKeyFile), keyText, privateMode); err != nil {
+		return err
+	}
+	if err := writeFile(filepath.Join(dir, caFile), encodeCertificate(der), publicMode); err != nil {
+		return err
+	}
+	return writeFrameKeys(filepath.Join(dir, frameFile), firstFrameKeys())
+}
+
+func encodeKey(key *ecdsa.PrivateKey) ([]byte, error) {
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return nil, err
+	}
+	return pem.EncodeToMemory(&pem.Block{Type: keyBlock, Bytes: der}), nil
+}
+
+func encodeCertificate(der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: certificateBlock, Bytes: der})
+}
+
+// Request describes a certificate.
+type Request struct {
+	Role rpc.Role
+	// VM is the VM, or the name of the operator.
+	VM vm.ID
+	// Addresses are those under which others connect to the VM; operators
+	// need none.
+	Addresses []netip.Addr
+}
+
+// RequestError reports a certificate that must not be issued.
+type RequestError struct {
+	Reason string
+}
+
+func (e *RequestError) Error() string { return "certificate request: " + e.Reason }
+
+func (r *Request) validate() error {
+	if !r.Role.Valid() {
+		return &RequestError{Reason: fmt.Sprintf("unknown role %q", r.Role)}
+	}
+	if !vm.ValidName(string(r.VM)) {
+		return &RequestError{Reason: fmt.Sprintf("%q is not a VM name", r.VM)}
+	}
+	if r.Role != rpc.RoleOperator && len(r.Addresses) == 0 {
+		return &RequestError{Reason: fmt.Sprintf("role %s needs an address", r.Role)}
+	}
+	for _, a := range r.Addresses {
+		if !a.IsValid() || a.IsUnspecified() {
+			return &RequestError{Reason: fmt.Sprintf("%q is not the address of a VM", a)}
+		}
+	}
+	return nil
+}
+
+// Issued is the result of Issue.
+type Issued struct {
+	Folder   string
+	NotAfter time.Time
+}
+
+// Issue makes the folder of a VM with the CA certificate, a certificate with
+// its key and, except for operators, the frame keys. An existing folder gets a
+// new certificate.
+func Issue(dir string, r Request, now time.Time) (Issued, error) {
+	if err := r.validate(); err != nil {
+		return Issued{}, err
+	}
+	authority, caText, err := openAuthority(dir)
+	if err != nil {
+		return Issued{}, err
+	}
+	content, notAfter, err := authority.sign(&r, now)
+	if err != nil {
+		return Issued{}, err
+	}
+	folder := filepath.Join(dir, vmFolder, string(r.VM))
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return Issued{}, err
+	}
+	if err := writeFile(filepath.Join(folder, caFile), caText, publicMode); err != nil {
+		return Issued{}, err
+	}
+	if r.Role != rpc.RoleOperator {
+		if err := copyFrameKeys(dir, folder); err != nil {
+			return Issued{}, err
+		}
+	}
+	// The certificate is last: a folder with a certificate is complete.
+	if err := writeFile(filepath.Join(folder, tlsFile), content, privateMode); err != nil {
+		return Issued{}, err
+	}
+	return Issued{Folder: folder, NotAfter: notAfter}, nil
+}
+
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+func openAuthority(dir string) (*authority, []byte, error) {
+	caText, err := os.ReadFile(filepath.Join(dir, caFile))
+	if err != nil {
+		return nil, nil, err
+	}
+	keyPath := filepath.Join(dir, caKeyFile)
+	keyText, err := readPrivate(keyPath)
+	if err != nil {
+		return nil, nil, err
+	}
+	certificate, err := parseCertificate(filepath.Join(dir, caFile), caText)
+	if err != nil {
+		return nil, nil, err
+	}
+	block, _ := pem.Decode(keyText)
+	if block == nil {
+		return nil, nil, &StateError{Path: keyPath, Reason: "holds no PEM block"}
+	}
+	parsed, err := x509.ParsePKCS8PrivateKey(block.Bytes)
+	if err != nil {
+		return nil, nil, &StateError{Path: keyPath, Reason: err.Error()}
+	}
+	key, ok := parsed.(*ecdsa.PrivateKey)
+	if !ok || !key.PublicKey.Equal(certificate.PublicKey) {
+		return nil, nil, &StateError{Path: keyPath, Reason: "does not belong to " + caFile}
+	}
+	return &authority{certificate: certificate, key: key}, caText, nil
+}
+
+func parseCertificate(path string, text []byte) (*x509.Certificate, error) {
+	block, _ := pem.Decode(text)
+	if block == nil {
+		return nil, &StateError{Path: path, Reason: "holds no PEM block"}
+	}
+	certificate, err := x509.ParseCertificate(block.Bytes)
+	if err != nil {
+		return nil, &StateError{Path: path, Reason: err.Error()}
+	}
+	return certificate, nil
+}
+
+// sign returns the certificate followed by its private key.
+func (a *authority) sign(r *Request, now time.Time) ([]byte, time.Time, error) {
+	if now.After(a.certificate.NotAfter) {
+		return nil, time.Time{}, &StateError{Path: caFile, Reason: "the CA certificate has expired"}
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, time.Time{}, err
+	}
+	notAfter := now.Add(CertificateLifetime)
+	if notAfter.After(a.certificate.NotAfter) {
+		notAfter = a.certificate.NotAfter
+	}
+	template := &x509.Certificate{
+		Subject:   pkix.Name{CommonName: string(r.VM), OrganizationalUnit: []string{string(r.Role)}},
+		NotBefore: now.Add(-clockSkew), NotAfter: notAfter,
+		KeyUsage: x509.KeyUsageDigitalSignature, ExtKeyUsage: extendedUsage(r.Role),
+		BasicConstraintsValid: true,
+	}
+	for _, address := range r.Addresses {
+		template.IPAddresses = append(template.IPAddresses, net.IP(address.Unmap().AsSlice()))
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, key.Public(), a.key)
+	if err != nil {
+		return nil, time.Time{}, err
+	}
+	keyText, err := encodeKey(key)
+	if err != nil {
+		return nil, time.Time{}, err
+	}
+	return append(encodeCertificate(der), keyText...), notAfter, nil
+}
+
+// extendedUsage keeps an operator from acting as a server.
+func extendedUsage(role rpc.Role) []x509.ExtKeyUsage {
+	if role == rpc.RoleOperator {
+		return []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
+	}
+	return []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+}
