--- a/internal/keys/frames.go
+++ b/internal/keys/frames.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 
+	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/frame"
 )
 
@@ -20,12 +21,17 @@
 	secretBytes = 8 + 8 + 32
 	// maxFrameKeys: one key seals, and the one before or after it also opens.
 	maxFrameKeys = 2
+	// flowHashBytes is the secret of the flow hash. It stays the same when the
+	// frame keys are rotated, because all nodes must rank flows alike.
+	flowHashBytes = 16
 )
 
 // frameKeys is the content of a frame key file.
 type frameKeys struct {
 	Current uint8      `json:"current"`
 	Keys    []frameKey `json:"keys"`
+	// FlowHash is K0 and K1 of the flow.Hasher in big endian.
+	FlowHash []byte `json:"flow_hash"`
 }
 
 type frameKey struct {
@@ -42,7 +48,9 @@
 
 func firstFrameKeys() frameKeys {
 	const firstID = 1
-	return frameKeys{Current: firstID, Keys: []frameKey{newFrameKey(firstID)}}
+	k := frameKeys{Current: firstID, Keys: []frameKey{newFrameKey(firstID)}, FlowHash: make([]byte, flowHashBytes)}
+	_, _ = rand.Read(k.FlowHash)
+	return k
 }
 
 func (k *frameKeys) find(id uint8) *frameKey {
@@ -77,6 +85,9 @@
 	if len(k.Keys) == maxFrameKeys && k.Keys[0].ID == k.Keys[1].ID {
 		return frameKeys{}, &StateError{Path: path, Reason: "both keys have the same id"}
 	}
+	if len(k.FlowHash) != flowHashBytes {
+		return frameKeys{}, &StateError{Path: path, Reason: fmt.Sprintf("flow hash secret has %d bytes, want %d", len(k.FlowHash), flowHashBytes)}
+	}
 	for _, key := range k.Keys {
 		if len(key.Secret) != secretBytes {
 			return frameKeys{}, &StateError{Path: path, Reason: fmt.Sprintf("key %d has %d bytes, want %d", key.ID, len(key.Secret), secretBytes)}
@@ -100,6 +111,15 @@
 	return loaded, nil
 }
 
+// LoadFlowHasher reads the secret of the flow hash from the folder of a VM.
+func LoadFlowHasher(dir string) (flow.Hasher, error) {
+	k, err := readFrameKeys(filepath.Join(dir, frameFile))
+	if err != nil {
+		return flow.Hasher{}, err
+	}
+	return flow.Hasher{K0: binary.BigEndian.Uint64(k.FlowHash), K1: binary.BigEndian.Uint64(k.FlowHash[8:])}, nil
+}
+
 // Rotation is the result of a step of a rotation.
 type Rotation struct {
 	// Current seals; Other opens as well.
