--- a/cmd/bramley-agent/main.go
+++ b/cmd/bramley-agent/main.go
@@ -28,6 +28,8 @@
 	Service  service.Name   `flag:"service" validate:"required"`
 	Upstream netip.AddrPort `flag:"upstream" validate:"required"`
 	Aliases  netip.Prefix   `flag:"aliases" validate:"required"`
+	// DeviceAddress is for upstreams whose address is not on another device.
+	DeviceAddress netip.Prefix `flag:"device-address"`
 }
 
 // Register implements settings.Group.
@@ -35,6 +37,7 @@
 	settings.String(s, &a.Service, "service", "", "service of the upstream beside this agent")
 	settings.Text(s, &a.Upstream, "upstream", "", "address of the upstream: IP:port")
 	settings.Text(s, &a.Aliases, "aliases", "", "prefix under which the upstream sees callers: address/bits; used on this VM only")
+	settings.Text(s, &a.DeviceAddress, "device-address", "", "address/bits to assign to the TUN device; none if empty")
 	s.Check(func(l *finding.List) {
 		if a.Aliases.IsValid() && a.Upstream.IsValid() && a.Aliases.Addr().Is4() != a.Upstream.Addr().Is4() {
 			l.Errorf(settings.Place("aliases"), "%s: want the IP version of the upstream %s", a.Aliases, a.Upstream)
@@ -68,10 +71,7 @@
 	err := errors.Join(
 		nodecmd.Provide(container, out, program, process, common),
 		container.Provide(func() (node.Device, error) {
-			return tun.Open(tun.Config{
-				Name: common.Device, Persistent: true, Routes: []netip.Prefix{own.Aliases},
-				Addresses: []netip.Prefix{netip.PrefixFrom(own.Upstream.Addr(), own.Upstream.Addr().BitLen())},
-			})
+			return openDevice(common, own)
 		}),
 		container.Provide(func(cfg node.Config, device node.Device) (*node.Agent, error) {
 			cfg.Service = own.Service
@@ -84,3 +84,13 @@
 	}
 	return nodecmd.Run(ctx, container, process, common)
 }
+
+// openDevice opens a persistent device, so that the kernel keeps the
+// connections of the upstream while the agent restarts.
+func openDevice(common *nodecmd.Node, own *agentSettings) (*tun.Device, error) {
+	cfg := tun.Config{Name: common.Device, Persistent: true, Routes: []netip.Prefix{own.Aliases}}
+	if own.DeviceAddress.IsValid() {
+		cfg.Addresses = []netip.Prefix{own.DeviceAddress}
+	}
+	return tun.Open(cfg)
+}
--- a/cmd/bramley-control/settings.go
+++ b/cmd/bramley-control/settings.go
@@ -4,11 +4,13 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
 
 	"bramleyhold.example/bramleyhold/internal/finding"
+	"bramleyhold.example/bramleyhold/internal/nodecmd"
 	"bramleyhold.example/bramleyhold/internal/settings"
 	"bramleyhold.example/bramleyhold/internal/vm"
 )
@@ -20,6 +22,9 @@
 // controlSettings holds the settings that only bramley-control has.
 type controlSettings struct {
 	Listen          string           `flag:"listen" validate:"listen"`
+	Address         netip.AddrPort   `flag:"address" validate:"required"`
+	Seeds           []netip.AddrPort `flag:"seeds"`
+	Keys            string           `flag:"keys" validate:"required,dir"`
 	Peers           map[vm.ID]string `flag:"peers" validate:"required"`
 	ElectionTimeout time.Duration    `flag:"election-timeout" validate:"gte=100ms,lte=1m"`
 	Heartbeat       time.Duration    `flag:"heartbeat" validate:"gte=10ms"`
@@ -29,6 +34,9 @@
 // Register implements settings.Group.
 func (c *controlSettings) Register(s *settings.Set) {
 	settings.String(s, &c.Listen, "listen", "127.0.0.1:7400", "address of the jsonrpc2 methods")
+	settings.Text(s, &c.Address, "address", "", "UDP address of gossip: IP:port")
+	settings.Add(s, &c.Seeds, "seeds", "", "gossip addresses of the other control VMs: IP:port,…", nodecmd.ParseAddresses)
+	settings.String(s, &c.Keys, "keys", "", "folder with the certificate and the frame keys of this VM")
 	settings.Add(s, &c.Peers, "peers", "", "control VMs of the first start, including this one: name=host:port,…", parsePeers)
 	settings.Duration(s, &c.ElectionTimeout, "election-timeout", "1s", "shortest time without a leader before an election")
 	settings.Duration(s, &c.Heartbeat, "heartbeat", "200ms", "interval at which a leader contacts the other replicas")
--- a/cmd/bramley-control/wire.go
+++ b/cmd/bramley-control/wire.go
@@ -12,7 +12,8 @@
 
 	"bramleyhold.example/bramleyhold/internal/control"
 	"bramleyhold.example/bramleyhold/internal/logstore"
-	"bramleyhold.example/bramleyhold/internal/rpc"
+	"bramleyhold.example/bramleyhold/internal/node"
+	"bramleyhold.example/bramleyhold/internal/nodecmd"
 	"bramleyhold.example/bramleyhold/internal/settings"
 	"bramleyhold.example/bramleyhold/internal/telemetry"
 )
@@ -20,16 +21,24 @@
 const program = "bramley-control"
 
 // serve builds the program and runs it until the context ends.
-func serve(ctx context.Context, out io.Writer, process *settings.Process, tls *settings.TLS, c *controlSettings) error {
+func serve(ctx context.Context, out io.Writer, process *settings.Process, c *controlSettings) error {
 	container := dig.New()
 	err := errors.Join(
 		container.Provide(func() (*logrus.Entry, error) {
 			return telemetry.NewLogger(out, program, process.VM, process.LogLevel)
 		}),
 		container.Provide(metrics.NewRegistry),
+		container.Provide(func() (*nodecmd.Secrets, error) { return nodecmd.LoadSecrets(c.Keys) }),
 		container.Provide(func() (logstore.FileSystem, error) { return logstore.OpenFolder(process.DataFolder) }),
-		container.Provide(func(log *logrus.Entry, registry metrics.Registry, files logstore.FileSystem) (control.Options, error) {
-			return serverOptions(process, tls, c, log, registry, files)
+		container.Provide(func(log *logrus.Entry, registry metrics.Registry, secrets *nodecmd.Secrets) (*node.Observer, error) {
+			return newObserver(process, c, log, registry, secrets)
+		}),
+		container.Provide(func(log *logrus.Entry, registry metrics.Registry, files logstore.FileSystem, secrets *nodecmd.Secrets, observer *node.Observer) control.Options {
+			return control.Options{
+				VM: process.VM, Listen: c.Listen, Peers: c.Peers, Files: files, Members: observer.Members,
+				ServerTLS: secrets.Server, ClientTLS: secrets.Client, ElectionTimeout: c.ElectionTimeout,
+				Heartbeat: c.Heartbeat, RequestTimeout: c.RequestTimeout, Log: log, Registry: registry,
+			}
 		}),
 		container.Provide(control.New),
 		container.Provide(func(registry metrics.Registry, server *control.Server) (*telemetry.Server, error) {
@@ -39,29 +48,26 @@
 	if err != nil {
 		return err
 	}
-	err = container.Invoke(func(log *logrus.Entry, server *control.Server, http *telemetry.Server) error {
-		return runServers(ctx, log, server, http)
+	err = container.Invoke(func(log *logrus.Entry, server *control.Server, observer *node.Observer, http *telemetry.Server) error {
+		return runServers(ctx, log, server, observer, http)
 	})
 	return dig.RootCause(err)
 }
 
-func serverOptions(process *settings.Process, tls *settings.TLS, c *controlSettings,
-	log *logrus.Entry, registry metrics.Registry, files logstore.FileSystem,
-) (control.Options, error) {
-	options := control.Options{
-		VM: process.VM, Listen: c.Listen, Peers: c.Peers, Files: files, ElectionTimeout: c.ElectionTimeout,
-		Heartbeat: c.Heartbeat, RequestTimeout: c.RequestTimeout, Log: log, Registry: registry,
-	}
-	if !tls.Enabled() {
-		return options, nil
+// newObserver lets joining processes find the membership at this VM.
+func newObserver(process *settings.Process, c *controlSettings, log *logrus.Entry, registry metrics.Registry, secrets *nodecmd.Secrets) (*node.Observer, error) {
+	seed, err := nodecmd.RandomSeed()
+	if err != nil {
+		return nil, err
 	}
-	var err error
-	options.ServerTLS, options.ClientTLS, err = rpc.LoadTLS(tls.CA, tls.Certificate, tls.Key)
-	return options, err
+	return node.NewObserver(node.Config{
+		VM: process.VM, Zone: process.Zone, Address: c.Address, Seeds: c.Seeds, Keys: secrets.Frames,
+		Hasher: secrets.Hasher, Seed: seed, Log: log, Metrics: registry,
+	})
 }
 
 // runServers keeps health and metrics available until the replica has stopped.
-func runServers(ctx context.Context, log *logrus.Entry, server *control.Server, http *telemetry.Server) error {
+func runServers(ctx context.Context, log *logrus.Entry, server *control.Server, observer *node.Observer, http *telemetry.Server) error {
 	log.WithFields(logrus.Fields{"address": server.Address(), "http_address": http.Address().String()}).Info("started")
 	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -70,6 +76,7 @@
 		defer cancel()
 		return server.Run(ctx)
 	})
+	group.Go(func() error { return observer.Run(serving) })
 	group.Go(func() error { return http.Serve(serving) })
 	err := group.Wait()
 	log.WithField("error", errorText(err)).Info("stopped")
--- a/internal/nodecmd/settings.go
+++ b/internal/nodecmd/settings.go
@@ -28,7 +28,7 @@
 func (n *Node) Register(s *settings.Set) {
 	settings.Text(s, &n.Address, "address", "", "UDP address of frames and gossip: IP:port")
 	settings.Strings(s, &n.Control, "control", "", "jsonrpc2 addresses of the control VMs: host:port,…")
-	settings.Add(s, &n.Seeds, "seeds", "", "gossip addresses of the control VMs: IP:port,…", parseAddresses)
+	settings.Add(s, &n.Seeds, "seeds", "", "gossip addresses of the control VMs: IP:port,…", ParseAddresses)
 	settings.String(s, &n.Admin, "admin-address", "", "address of the jsonrpc2 methods for operators")
 	settings.String(s, &n.Keys, "keys", "", "folder with the certificate and the frame keys of this VM")
 	settings.Int(s, &n.TunnelMTU, "tunnel-mtu", fmt.Sprint(node.DefaultTunnelMTU), "largest packet that is sent in a frame, in bytes")
@@ -49,7 +49,8 @@
 	}
 }
 
-func parseAddresses(text string) ([]netip.AddrPort, error) {
+// ParseAddresses reads a comma-separated list of addresses with ports.
+func ParseAddresses(text string) ([]netip.AddrPort, error) {
 	if text == "" {
 		return nil, nil
 	}
--- a/internal/nodecmd/wire.go
+++ b/internal/nodecmd/wire.go
@@ -57,16 +57,25 @@
 	return &Secrets{Server: server, Client: client, Frames: frames, Hasher: hasher}, nil
 }
 
-// nodeConfig joins settings and parts to the configuration of a node.
-func nodeConfig(p *settings.Process, n *Node, secrets *Secrets, log *logrus.Entry, registry metrics.Registry, tracer *Traces) (node.Config, error) {
+// RandomSeed returns a seed for the random sources of decisions.
+func RandomSeed() (uint64, error) {
 	var seed [8]byte
 	if _, err := rand.Read(seed[:]); err != nil {
-		return node.Config{}, fmt.Errorf("random seed: %w", err)
+		return 0, fmt.Errorf("random seed: %w", err)
+	}
+	return binary.BigEndian.Uint64(seed[:]), nil
+}
+
+// nodeConfig joins settings and parts to the configuration of a node.
+func nodeConfig(p *settings.Process, n *Node, secrets *Secrets, log *logrus.Entry, registry metrics.Registry, tracer *Traces) (node.Config, error) {
+	seed, err := RandomSeed()
+	if err != nil {
+		return node.Config{}, err
 	}
 	return node.Config{
 		VM: p.VM, Zone: p.Zone, Address: n.Address, Control: n.Control, Seeds: n.Seeds,
 		TLS: secrets.Client, Keys: secrets.Frames, Hasher: secrets.Hasher, TunnelMTU: n.TunnelMTU,
-		DataFolder: p.DataFolder, Seed: binary.BigEndian.Uint64(seed[:]),
+		DataFolder: p.DataFolder, Seed: seed,
 		Incarnation: vm.Incarnation(time.Now().UnixMilli()),
 		Log:         log, Metrics: registry, Events: event.NewBuffer(string(p.VM), eventCapacity),
 		Tracer: tracer.Tracer, TraceEvery: n.TraceEvery,
