--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -199,11 +200,14 @@
 	case controlapi.CodeUnavailable:
 		return nil
 	case controlapi.CodeInvalid:
-		rejected := &RejectedError{Reason: answer.Message}
 		var list finding.List
 		decodeData(answer, &list)
-		rejected.List = list
-		return rejected
+		reason := answer.Message
+		if err := list.Err(); err != nil {
+			// The message of bramley-control repeats the findings.
+			reason = strings.TrimSuffix(reason, ": "+err.Error())
+		}
+		return &RejectedError{Reason: reason, List: list}
 	case controlapi.CodeNotAuthorized:
 		return &NotAuthorizedError{Method: method, Reason: answer.Message}
 	}
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -19,7 +19,8 @@
 	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
-const maxEvents = 10_000
+// maxEvents is the most that bramley-control returns.
+const maxEvents = 1000
 
 func (a *app) explainCommands() *cli.Command {
 	return &cli.Command{
@@ -81,7 +82,9 @@
 		}
 		answer := flowAnswer{Caller: caller.String(), Service: name, Endpoint: target.Endpoint}
 		request := controlapi.ExplainRequest{Caller: caller, Endpoint: target.Endpoint}
-		answer.Explanations, answer.Unanswered = ask[controlapi.Explanation](ctx, s, processes.of(string(name)), controlapi.ExplainFlow, request)
+		// Control replicas see no flows.
+		asked := processes.of(string(name)).without(vm.RoleControl)
+		answer.Explanations, answer.Unanswered = ask[controlapi.Explanation](ctx, s, asked, controlapi.ExplainFlow, request)
 		return s.out.show(answer, answer.text)
 	}
 }
--- a/internal/ctl/keys.go
+++ b/internal/ctl/keys.go
@@ -46,7 +46,7 @@
 			return err
 		}
 		return out.show(map[string]string{"folder": dir}, func(w io.Writer) {
-			line(w, "made the cluster CA and frame key 1 in %s", dir)
+			line(w, "made the cluster CA, the flow hash secret and frame key 1 in %s", dir)
 			line(w, "keep ca.key offline: who has it can act as any VM or operator")
 		})
 	}
--- a/internal/ctl/processes.go
+++ b/internal/ctl/processes.go
@@ -74,6 +74,10 @@
 	})
 }
 
+func (l processList) without(role vm.Role) processList {
+	return slices.DeleteFunc(slices.Clone(l), func(p process) bool { return p.role == role })
+}
+
 // ask calls a method of every process. Answers are in the order of the list.
 func ask[T any](ctx context.Context, s *session, list processList, method string, params any) ([]T, []unanswered) {
 	answers := make([]*T, len(list))
--- a/internal/ctl/watch.go
+++ b/internal/ctl/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"sync"
 
@@ -108,7 +109,8 @@
 // follow shows updates of one connection until it ends.
 func (w *watcher) follow(ctx context.Context, address string) (done bool, err error) {
 	queue := &updateQueue{wake: make(chan struct{}, 1)}
-	conn, err := rpc.Dial(ctx, address, w.session.config, queue)
+	methods := rpc.Methods{controlapi.IntentUpdated: queue.add}
+	conn, err := rpc.Dial(ctx, address, w.session.config, methods.SerialHandler())
 	if err != nil {
 		return false, err
 	}
@@ -118,7 +120,7 @@
 	if err := w.subscribe(ctx, conn, request, &first); err != nil {
 		return false, err
 	}
-	if done, err := w.apply(first); done || err != nil {
+	if done, err := w.apply(ctx, conn, first); done || err != nil {
 		return done, err
 	}
 	for {
@@ -130,7 +132,7 @@
 		case <-queue.wake:
 		}
 		for _, update := range queue.take() {
-			if done, err := w.apply(update); done || err != nil {
+			if done, err := w.apply(ctx, conn, update); done || err != nil {
 				return done, err
 			}
 		}
@@ -149,12 +151,12 @@
 func (gapError) Error() string { return "an update is missing" }
 
 // apply shows the revisions of an update that have not been shown.
-func (w *watcher) apply(u controlapi.IntentUpdate) (done bool, err error) {
+func (w *watcher) apply(ctx context.Context, conn *rpc.Conn, u controlapi.IntentUpdate) (done bool, err error) {
 	if u.ToRevision <= w.revision {
 		return w.finished(), nil
 	}
 	if u.Snapshot != nil {
-		return w.showSnapshot(u.Snapshot)
+		return w.showSnapshot(u.Snapshot.Revision, w.rows(ctx, conn))
 	}
 	if u.FromRevision > w.revision {
 		return false, gapError{}
@@ -176,13 +178,28 @@
 	return false, nil
 }
 
-// showSnapshot takes the changes from the history of the state; rows that it
-// no longer has are named as skipped.
-func (w *watcher) showSnapshot(s *intent.State) (bool, error) {
-	for _, row := range s.History {
-		if row.Revision <= w.revision {
+// rows returns the latest history rows. A snapshot has none, and without them
+// only the revision of the snapshot is shown.
+func (w *watcher) rows(ctx context.Context, conn *rpc.Conn) []intent.HistoryRow {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	var rows []intent.HistoryRow
+	if conn.Call(ctx, controlapi.IntentHistory, controlapi.HistoryRequest{Limit: maxHistoryRows}, &rows) != nil {
+		return nil
+	}
+	return rows
+}
+
+// showSnapshot shows the known rows up to the revision of a snapshot, and names
+// the gaps between them. Later rows come with the next update.
+func (w *watcher) showSnapshot(revision uint64, rows []intent.HistoryRow) (bool, error) {
+	for _, row := range rows {
+		if row.Revision <= w.revision || row.Revision > revision {
 			continue
 		}
+		if done, err := w.showGap(row.Revision - 1); done || err != nil {
+			return done, err
+		}
 		if err := w.show(watchRow{Revision: row.Revision, Summary: row.Summary}); err != nil {
 			return false, err
 		}
@@ -190,11 +207,17 @@
 			return true, nil
 		}
 	}
-	if s.Revision > w.revision {
-		err := w.show(watchRow{Revision: s.Revision, Summary: "whole state; the single changes before it are no longer known"})
-		return w.finished(), err
+	return w.showGap(revision)
+}
+
+// showGap names revisions whose changes the server no longer knows.
+func (w *watcher) showGap(revision uint64) (bool, error) {
+	if revision <= w.revision {
+		return false, nil
 	}
-	return false, nil
+	summary := fmt.Sprintf("the changes after revision %d are no longer known", w.revision)
+	err := w.show(watchRow{Revision: revision, Summary: summary})
+	return w.finished(), err
 }
 
 func (w *watcher) finished() bool { return w.limit > 0 && w.shown >= w.limit }
@@ -213,14 +236,10 @@
 	wake    chan struct{}
 }
 
-// Handle implements rpc.Handler.
-func (q *updateQueue) Handle(_ context.Context, _ *rpc.Conn, req *jsonrpc2.Request) {
-	if req.Method != controlapi.IntentUpdated || req.Params == nil {
-		return
-	}
-	var u controlapi.IntentUpdate
-	if err := json.Unmarshal(*req.Params, &u); err != nil {
-		return
+func (q *updateQueue) add(_ context.Context, _ *rpc.Conn, params json.RawMessage) (any, error) {
+	u, err := rpc.Decode[controlapi.IntentUpdate](params)
+	if err != nil {
+		return nil, err
 	}
 	q.mu.Lock()
 	q.updates = append(q.updates, u)
@@ -229,6 +248,7 @@
 	case q.wake <- struct{}{}:
 	default:
 	}
+	return nil, nil
 }
 
 func (q *updateQueue) take() []controlapi.IntentUpdate {
--- a/internal/intent/change.go
+++ b/internal/intent/change.go
@@ -227,6 +227,9 @@
 // setInventory replaces the inventory. Rules of services and VMs that stay are
 // kept; removed upstreams are retired.
 func (s *State) setInventory(inv Inventory) (string, error) {
+	if err := s.checkTransition(inv); err != nil {
+		return "", err
+	}
 	s.Services = s.mergeServices(inv.Services)
 	s.VMs = s.mergeMachines(inv.Machines)
 	return fmt.Sprintf("inventory of %d VMs and %d services", len(inv.Machines), len(inv.Services)), nil
--- a/internal/intent/validate.go
+++ b/internal/intent/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 
 	"bramleyhold.example/bramleyhold/internal/finding"
 	"bramleyhold.example/bramleyhold/internal/service"
@@ -53,8 +54,8 @@
 	if p := r.Contract.Priority; p != service.PreferSurvival && p != service.PreferBalance {
 		l.Errorf(finding.Place{Object: "contract", Field: "priority"}, "%.20q: unknown priority", p)
 	}
-	if r.Contract.QueueDeadline < 0 {
-		l.Errorf(finding.Place{Object: "contract", Field: "queue_deadline_ns"}, "is negative")
+	if d := r.Contract.QueueDeadline; d < 0 || d > service.MaxQueueDeadline {
+		l.Errorf(finding.Place{Object: "contract", Field: "queue_deadline_ns"}, "%s: want 0s to %s", d, service.MaxQueueDeadline)
 	}
 }
 
@@ -68,8 +69,8 @@
 			l.Errorf(finding.Place{Object: object, Field: "name"}, "appears twice")
 		}
 		services[s.Name] = true
-		if !s.Endpoint.Address.IsValid() || s.Endpoint.Protocol.Number() == 0 {
-			l.Errorf(finding.Place{Object: object, Field: "endpoint"}, "invalid address or protocol")
+		if !s.Endpoint.Address.IsValid() || s.Endpoint.Address.Port() == 0 || s.Endpoint.Protocol.Number() == 0 {
+			l.Errorf(finding.Place{Object: object, Field: "endpoint"}, "invalid address, port or protocol")
 		}
 		if other, ok := endpoints[s.Endpoint]; ok {
 			l.Errorf(finding.Place{Object: object, Field: "endpoint"}, "is also that of service %q", other)
@@ -81,6 +82,7 @@
 
 func (inv *Inventory) validateMachines(l *finding.List, services map[service.Name]bool) {
 	machines := map[vm.ID]bool{}
+	addresses := map[netip.Addr]vm.ID{}
 	members := map[service.Name]int{}
 	for _, m := range inv.Machines {
 		object := fmt.Sprintf("vm %.40q", m.ID)
@@ -89,6 +91,11 @@
 			l.Errorf(finding.Place{Object: object, Field: "id"}, "appears twice")
 		}
 		machines[m.ID] = true
+		// Processes of a deployment on one machine share a loopback address.
+		if other, ok := addresses[m.Address]; ok && m.Address.IsValid() && !m.Address.IsLoopback() {
+			l.Errorf(finding.Place{Object: object, Field: "address"}, "%s is also that of %.40q", m.Address, other)
+		}
+		addresses[m.Address] = m.ID
 		if !m.Role.Valid() {
 			l.Errorf(finding.Place{Object: object, Field: "role"}, "%.20q: unknown role", m.Role)
 		}
@@ -98,6 +105,9 @@
 		if !services[m.Service] {
 			l.Errorf(finding.Place{Object: object, Field: "service"}, "%.40q is not in the inventory", m.Service)
 		}
+		if m.Slots < 0 || m.Connections < 0 {
+			l.Errorf(finding.Place{Object: object, Field: "slots"}, "%d slots and %d connections: want no negative number", m.Slots, m.Connections)
+		}
 		members[m.Service]++
 		if members[m.Service] == MaxServiceMembers+1 {
 			l.Errorf(finding.Place{Object: fmt.Sprintf("service %.40q", m.Service)}, "more than %d upstreams", MaxServiceMembers)
--- a/internal/keys/authority.go
+++ b/internal/keys/authority.go
@@ -30,13 +30,13 @@
 	keyBlock         = "PRIVATE KEY"
 )
 
-// Init makes the CA and the first frame key of a cluster. It refuses a folder
+// Init makes the CA, the flow hash secret and the first frame key of a cluster. It refuses a folder
 // that already has one of the files.
 func Init(dir string, now time.Time) error {
 	if err := os.MkdirAll(dir, folderMode); err != nil {
 		return err
 	}
-	for _, name := range []string{caFile, caKeyFile, frameFile} {
+	for _, name := range []string{caFile, caKeyFile, flowFile, frameFile} {
 		path := filepath.Join(dir, name)
 		if _, err := os.Lstat(path); err == nil {
 			return &StateError{Path: path, Reason: "exists already; choose another folder or remove it"}
@@ -65,6 +65,9 @@
 	if err := writeFile(filepath.Join(dir, caFile), encodeCertificate(der), publicMode); err != nil {
 		return err
 	}
+	if err := writeFlowSecret(filepath.Join(dir, flowFile)); err != nil {
+		return err
+	}
 	return writeFrameKeys(filepath.Join(dir, frameFile), firstFrameKeys())
 }
 
@@ -122,7 +125,7 @@
 }
 
 // Issue makes the folder of a VM with the CA certificate, a certificate with
-// its key and, except for operators, the frame keys. An existing folder gets a
+// its key and, except for operators, the frame keys and the flow hash secret. An existing folder gets a
 // new certificate.
 func Issue(dir string, r Request, now time.Time) (Issued, error) {
 	if err := r.validate(); err != nil {
@@ -144,7 +147,7 @@
 		return Issued{}, err
 	}
 	if r.Role != rpc.RoleOperator {
-		if err := copyFrameKeys(dir, folder); err != nil {
+		if err := copySecrets(dir, folder); err != nil {
 			return Issued{}, err
 		}
 	}
--- a/internal/keys/files.go
+++ b/internal/keys/files.go
@@ -13,6 +13,7 @@
 	caKeyFile = "ca.key"     // private key of the CA; cluster folder only
 	tlsFile   = "tls.pem"    // certificate and private key of one VM
 	frameFile = "frame.json" // frame keys
+	flowFile  = "flow.json"  // secret of flow hashes
 	vmFolder  = "vm"         // folder of the VM folders
 )
 
--- /dev/null
+++ b/internal/keys/flows.go
@@ -0,0 +1,50 @@
+package keys
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"path/filepath"
+
+	"bramleyhold.example/bramleyhold/internal/flow"
+)
+
+// hasherBytes is K0 and K1 of a flow.Hasher in big endian.
+const hasherBytes = 8 + 8
+
+// flowSecret is the content of the flow hash file. It is separate from the
+// frame keys because it is not rotated: another secret changes the home of
+// every flow.
+type flowSecret struct {
+	Secret []byte `json:"secret"`
+}
+
+func writeFlowSecret(path string) error {
+	s := flowSecret{Secret: make([]byte, hasherBytes)}
+	// crypto/rand.Read never returns an error.
+	_, _ = rand.Read(s.Secret)
+	text, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	return writeFile(path, append(text, '\n'), privateMode)
+}
+
+// LoadFlowHasher reads the secret of flow hashes from the folder of a VM. All
+// processes of a cluster have the same one.
+func LoadFlowHasher(dir string) (flow.Hasher, error) {
+	path := filepath.Join(dir, flowFile)
+	text, err := readPrivate(path)
+	if err != nil {
+		return flow.Hasher{}, fmt.Errorf("load flow hash secret: %w", err)
+	}
+	var s flowSecret
+	if err := json.Unmarshal(text, &s); err != nil {
+		return flow.Hasher{}, &StateError{Path: path, Reason: err.Error()}
+	}
+	if len(s.Secret) != hasherBytes {
+		return flow.Hasher{}, &StateError{Path: path, Reason: fmt.Sprintf("secret has %d bytes, want %d", len(s.Secret), hasherBytes)}
+	}
+	return flow.Hasher{K0: binary.BigEndian.Uint64(s.Secret), K1: binary.BigEndian.Uint64(s.Secret[8:])}, nil
+}
--- a/internal/keys/frames.go
+++ b/internal/keys/frames.go
@@ -194,11 +194,22 @@
 	return updated, nil
 }
 
-// copyFrameKeys checks the keys of the cluster folder and copies them.
-func copyFrameKeys(dir, folder string) error {
-	k, err := readFrameKeys(filepath.Join(dir, frameFile))
-	if err != nil {
+// copySecrets checks the secrets of the cluster folder and copies them.
+func copySecrets(dir, folder string) error {
+	if _, err := LoadFrameKeys(dir); err != nil {
+		return err
+	}
+	if _, err := LoadFlowHasher(dir); err != nil {
 		return err
 	}
-	return writeFrameKeys(filepath.Join(folder, frameFile), k)
+	for _, name := range []string{flowFile, frameFile} {
+		content, err := os.ReadFile(filepath.Join(dir, name))
+		if err != nil {
+			return err
+		}
+		if err := writeFile(filepath.Join(folder, name), content, privateMode); err != nil {
+			return err
+		}
+	}
+	return nil
 }
