ctl: clearer errors when control is unavailable

Cause: trials against three bramley-control replicas on loopback showed a read that claimed an unknown outcome, settings without an environment variable that were reported with one, and a deadline that hid the answer of the server. Change: only changes that were sent tell how to repeat them; findings name an environment variable only where there is one; one attempt may take 6 s and a command 20 s, so that the answer of a replica without a majority arrives.

--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -41,7 +41,7 @@
 func (in *input) changeOptions() changeOptions {
 	o := changeOptions{dryRun: in.toggle("dry-run"), operationID: in.text("operation-id")}
 	if len(o.operationID) > maxOperationBytes {
-		in.findings.Errorf(flagPlace("operation-id"), "has %d bytes: at most %d are allowed", len(o.operationID), maxOperationBytes)
+		in.fail("operation-id", "has %d bytes: at most %d are allowed", len(o.operationID), maxOperationBytes)
 	}
 	if o.operationID == "" {
 		o.operationID = newOperationID()
@@ -49,7 +49,7 @@
 	if text := in.text("base-revision"); text != "" {
 		base, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
-			in.findings.Errorf(flagPlace("base-revision"), "%q: want a revision number", text)
+			in.fail("base-revision", "%q: want a revision number", text)
 		}
 		o.base = &base
 	}
@@ -93,11 +93,8 @@
 	var result intent.Result
 	err = s.client.call(ctx, controlapi.IntentPropose, controlapi.ProposeRequest{Change: c, DryRun: o.dryRun}, &result)
 	var unavailable *UnavailableError
-	if errors.As(err, &unavailable) {
-		unavailable.Unknown = unavailable.Unknown && !o.dryRun
-		if unavailable.Unknown {
-			unavailable.Repeat = fmt.Sprintf("--operation-id %s --base-revision %d", c.OperationID, base)
-		}
+	if errors.As(err, &unavailable) && unavailable.Sent && !o.dryRun {
+		unavailable.Repeat = fmt.Sprintf("--operation-id %s --base-revision %d", c.OperationID, base)
 	}
 	if err != nil {
 		return err
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -20,8 +20,9 @@
 
 const (
 	// attemptTimeout bounds one attempt, so that a silent control VM leaves
-	// time for the others.
-	attemptTimeout = 4 * time.Second
+	// time for the others. It is longer than the 5 s for which bramley-control
+	// waits for a majority, so that its answer arrives.
+	attemptTimeout = 6 * time.Second
 	// minAttempt is about two exchanges between zones plus a TLS handshake.
 	minAttempt = 50 * time.Millisecond
 	// maxRetries is the initial retry budget. One command makes few requests,
@@ -83,7 +84,10 @@
 		if final := definitive(method, err); final != nil {
 			return final
 		}
-		failed.Last = err
+		if failed.Last == nil || ctx.Err() == nil {
+			// An attempt cut off by the deadline says less than the one before.
+			failed.Last = err
+		}
 		var moved *leaderMovedError
 		if errors.As(err, &moved) {
 			c.leader = moved.address
@@ -92,7 +96,7 @@
 				continue
 			}
 		} else if sent {
-			failed.Unknown = true
+			failed.Sent = true
 		}
 		c.leader = ""
 		c.target++
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -60,15 +60,15 @@
 	Attempts int
 	Reason   string
 	Last     error
-	// Unknown is set if a change may have been accepted without an answer.
-	Unknown bool
-	// Repeat is how to find out; it is set with Unknown.
+	// Sent is set if a control VM may have executed the request.
+	Sent bool
+	// Repeat is how to get the outcome of a change that was sent.
 	Repeat string
 }
 
 func (e *UnavailableError) Error() string {
 	text := fmt.Sprintf("unavailable: %s failed after %d attempts (%s): %v", e.Method, e.Attempts, e.Reason, e.Last)
-	if e.Unknown {
+	if e.Repeat != "" {
 		text += "\nthe outcome is unknown; repeat the command with " + e.Repeat + " to get the first answer"
 	}
 	return text
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -59,11 +59,11 @@
 	in.args()
 	caller, err := parseEndpoint(in.text("caller"))
 	if err != nil {
-		in.findings.Errorf(flagPlace("caller"), "%v", err)
+		in.fail("caller", "%v", err)
 	}
 	name := service.Name(in.text("service"))
 	if name == "" {
-		in.findings.Errorf(flagPlace("service"), "is required")
+		in.fail("service", "is required")
 	}
 	return func(ctx context.Context, s *session) error {
 		ctx, cancel := s.withTimeout(ctx)
@@ -91,6 +91,9 @@
 
 func (a *flowAnswer) text(w io.Writer) {
 	line(w, "flow from %s to %s (%s)", a.Caller, a.Service, a.Endpoint)
+	if len(a.Explanations)+len(a.Unanswered) == 0 {
+		line(w, "no balancer and no upstream of the service is a member")
+	}
 	for i := range a.Explanations {
 		e := &a.Explanations[i]
 		line(w, "%s: holder %s, home %s, placer %s", e.Node, orDash(string(e.Holder)), orDash(string(e.Home)), orDash(string(e.Placer)))
--- a/internal/ctl/input.go
+++ b/internal/ctl/input.go
@@ -38,10 +38,25 @@
 }
 
 func (in *input) fail(name, format string, args ...any) {
-	place := finding.Place{Object: "setting --" + name, Field: envName(name)}
+	place := finding.Place{Object: "setting --" + name}
+	if in.readsEnvironment(name) {
+		place.Field = envName(name)
+	}
 	in.findings.Errorf(place, format, args...)
 }
 
+func (in *input) readsEnvironment(name string) bool {
+	for _, cmd := range in.cmd.Lineage() {
+		for _, f := range cmd.Flags {
+			documented, ok := f.(cli.DocGenerationFlag)
+			if ok && f.Names()[0] == name {
+				return slices.Contains(documented.GetEnvVars(), envName(name))
+			}
+		}
+	}
+	return false
+}
+
 func (in *input) err() error {
 	if in.findings.HasErrors() {
 		return &UsageError{List: in.findings}
@@ -86,7 +101,8 @@
 	}
 	on, err := strconv.ParseBool(value)
 	if err != nil {
-		in.fail(name, "%q is neither true nor false", value)
+		place := finding.Place{Object: "setting --" + name, Field: envName(name)}
+		in.findings.Errorf(place, "%q is neither true nor false", value)
 	}
 	return on
 }
--- a/internal/ctl/keys.go
+++ b/internal/ctl/keys.go
@@ -56,13 +56,13 @@
 	dir := in.args("DIR")[0]
 	request := keys.Request{Role: rpc.Role(in.text("role")), VM: vm.ID(in.text("vm")), Addresses: in.addresses("address")}
 	if !request.Role.Valid() {
-		in.findings.Errorf(flagPlace("role"), "%q: want control, balancer, agent or operator", request.Role)
+		in.fail("role", "%q: want control, balancer, agent or operator", request.Role)
 	}
 	if !vm.ValidName(string(request.VM)) {
-		in.findings.Errorf(flagPlace("vm"), "%q: want 1 to %d letters, digits, '.', '_' and '-', with a letter or digit first", request.VM, vm.MaxNameBytes)
+		in.fail("vm", "%q: want 1 to %d letters, digits, '.', '_' and '-', with a letter or digit first", request.VM, vm.MaxNameBytes)
 	}
 	if request.Role != rpc.RoleOperator && len(in.cmd.StringSlice("address")) == 0 {
-		in.findings.Errorf(flagPlace("address"), "is required, except for operators")
+		in.fail("address", "is required, except for operators")
 	}
 	return func(out *printer) error {
 		issued, err := keys.Issue(dir, request, time.Now())
@@ -81,7 +81,7 @@
 	for _, text := range in.cmd.StringSlice(name) {
 		address, err := netip.ParseAddr(text)
 		if err != nil || address.Zone() != "" || address.IsUnspecified() {
-			in.findings.Errorf(flagPlace(name), "%q: want the IP address of a VM", text)
+			in.fail(name, "%q: want the IP address of a VM", text)
 			continue
 		}
 		list = append(list, address)
--- a/internal/ctl/processes.go
+++ b/internal/ctl/processes.go
@@ -51,7 +51,7 @@
 	known := map[string]bool{}
 	for _, a := range s.control {
 		known[a.String()] = true
-		list = append(list, process{name: "control " + a.String(), address: a.String(), role: vm.RoleControl})
+		list = append(list, process{name: "a control VM", address: a.String(), role: vm.RoleControl})
 	}
 	var members []view.Member
 	if err := s.client.call(ctx, controlapi.MembersList, nil, &members); err != nil {
--- a/internal/ctl/rules.go
+++ b/internal/ctl/rules.go
@@ -13,8 +13,6 @@
 	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
-func flagPlace(name string) finding.Place { return finding.Place{Object: "setting --" + name} }
-
 func (a *app) serviceCommands() *cli.Command {
 	contract := append(changeFlags(),
 		&cli.BoolFlag{Name: "idempotent", Usage: "requests can be executed more than once; --idempotent=false takes it back"},
--- a/internal/ctl/session.go
+++ b/internal/ctl/session.go
@@ -33,7 +33,7 @@
 	return []cli.Flag{
 		textFlag("control", "", "control addresses as ADDRESS:PORT, separated by commas"),
 		textFlag("keys", "", "folder with the certificate of the operator; without it connections are plain TCP, on loopback only"),
-		textFlag("timeout", "15s", "time for the whole command with its retries"),
+		textFlag("timeout", "20s", "time for the whole command with its retries"),
 		&cli.StringFlag{
 			Name: "operator", Usage: "name of the operator in the history",
 			Sources: cli.EnvVars(envName("operator"), "USER"),
