--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -19,7 +19,8 @@
 	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
-const maxEvents = 10_000
+// maxEvents is the most that bramley-control returns.
+const maxEvents = 1000
 
 func (a *app) explainCommands() *cli.Command {
 	return &cli.Command{
@@ -58,11 +59,11 @@
 	in.args()
 	caller, err := parseEndpoint(in.text("caller"))
 	if err != nil {
-		in.findings.Errorf(flagPlace("caller"), "%v", err)
+		in.fail("caller", "%v", err)
 	}
 	name := service.Name(in.text("service"))
 	if name == "" {
-		in.findings.Errorf(flagPlace("service"), "is required")
+		in.fail("service", "is required")
 	}
 	return func(ctx context.Context, s *session) error {
 		ctx, cancel := s.withTimeout(ctx)
@@ -81,13 +82,18 @@
 		}
 		answer := flowAnswer{Caller: caller.String(), Service: name, Endpoint: target.Endpoint}
 		request := controlapi.ExplainRequest{Caller: caller, Endpoint: target.Endpoint}
-		answer.Explanations, answer.Unanswered = ask[controlapi.Explanation](ctx, s, processes.of(string(name)), controlapi.ExplainFlow, request)
+		// Control replicas see no flows.
+		asked := processes.of(string(name)).without(vm.RoleControl)
+		answer.Explanations, answer.Unanswered = ask[controlapi.Explanation](ctx, s, asked, controlapi.ExplainFlow, request)
 		return s.out.show(answer, answer.text)
 	}
 }
 
 func (a *flowAnswer) text(w io.Writer) {
 	line(w, "flow from %s to %s (%s)", a.Caller, a.Service, a.Endpoint)
+	if len(a.Explanations)+len(a.Unanswered) == 0 {
+		line(w, "no balancer and no upstream of the service is a member")
+	}
 	for i := range a.Explanations {
 		e := &a.Explanations[i]
 		line(w, "%s: holder %s, home %s, placer %s", e.Node, orDash(string(e.Holder)), orDash(string(e.Home)), orDash(string(e.Placer)))
--- a/internal/ctl/processes.go
+++ b/internal/ctl/processes.go
@@ -51,7 +51,7 @@
 	known := map[string]bool{}
 	for _, a := range s.control {
 		known[a.String()] = true
-		list = append(list, process{name: "control " + a.String(), address: a.String(), role: vm.RoleControl})
+		list = append(list, process{name: "a control VM", address: a.String(), role: vm.RoleControl})
 	}
 	var members []view.Member
 	if err := s.client.call(ctx, controlapi.MembersList, nil, &members); err != nil {
@@ -74,6 +74,10 @@
 	})
 }
 
+func (l processList) without(role vm.Role) processList {
+	return slices.DeleteFunc(slices.Clone(l), func(p process) bool { return p.role == role })
+}
+
 // ask calls a method of every process. Answers are in the order of the list.
 func ask[T any](ctx context.Context, s *session, list processList, method string, params any) ([]T, []unanswered) {
 	answers := make([]*T, len(list))
