--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GOFUMPT := go run mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
 PROGRAMS := $(notdir $(wildcard cmd/*))
 
-.PHONY: build test fmt lint generate
+.PHONY: build test fmt lint generate slopes
 
 build: ## Builds all programs into bin/.
 	go build -o bin/ ./cmd/...
@@ -22,3 +22,6 @@
 
 generate: ## Regenerates the committed codecs.
 	go generate ./...
+
+slopes: ## Measures how state, messages and processor time grow with the fleet.
+	go run ./cmd/bramley-dev slopes
--- a/internal/membership/apply.go
+++ b/internal/membership/apply.go
@@ -49,7 +49,11 @@
 	if r == nil {
 		return n.insert(now, in, out)
 	}
-	if order(in.summary(), r.summary()) <= 0 {
+	position := order(in.summary(), r.summary())
+	if position == 0 {
+		r.heard++
+	}
+	if position <= 0 {
 		return nil
 	}
 	before := *r
@@ -57,7 +61,6 @@
 		r.member, r.verdict, r.observers = in.member, in.verdict, in.observers
 		r.member.Service = n.intern(r.member.Service)
 	})
-	r.sends = 0
 	if r.verdict == suspected {
 		n.suspects = append(n.suspects, r)
 	}
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -181,7 +181,7 @@
 		return nil, &DecodeError{Reason: err.Error()}
 	}
 	var address netip.AddrPort
-	if err := address.UnmarshalBinary(w.Address); err != nil || !address.IsValid() {
+	if err := address.UnmarshalBinary(w.Address); err != nil || !address.IsValid() || address.Addr().Zone() != "" {
 		return nil, &DecodeError{Reason: "bad address"}
 	}
 	r := &record{verdict: w.Verdict, member: view.Member{
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"bramleyhold.example/bramleyhold/internal/view"
@@ -43,39 +44,58 @@
 
 	gossipInterval = 200 * time.Millisecond
 	gossipFanout   = 3
-	// spreadFactor times log10 of the zone size is how often a node sends one
-	// change; anti-entropy repairs the rest.
-	spreadFactor   = 3
-	maxSends       = 15
+	// A node sends one change spreadFactor times log10 of the zone size, at
+	// least minSends times. With 3 and no minimum a member in a fleet of 20
+	// missed a change and got it only by repair, after 9.9 s.
+	spreadFactor = 4
+	minSends     = 8
+	maxSends     = 17
+	// gossipAge bounds how long a change is passed on. After a burst of 1,100
+	// joins the queue would otherwise take minutes to drain.
+	gossipAge      = 15 * time.Second
 	piggybackBytes = 400
 	gossipRate     = 1500.0 // bytes per second
 	gossipBurst    = 8000.0 // bytes
-	// The delegate's share of a burst; a single change costs about 1 KB.
-	crossRate       = 6000.0
-	crossBurst      = 24000.0
+)
+
+const (
+	// crossRate and crossBurst bound what a delegate sends to other zones. A
+	// single change to five zones takes about 700 bytes.
+	crossRate     = 6000.0
+	crossBurst    = 24000.0
+	stampInterval = 5 * time.Second
+	returnStamps  = 2 // advances that end the loss of a zone
+	delegatesPer  = 2
+)
+
+const (
+	digestInterval = 10 * time.Second
+	// A process younger than youngAge repairs itself each youngInterval.
+	youngInterval = time.Second
+	youngAge      = 30 * time.Second
+	// syncStep is the time to the next exchange while exchanges bring news.
+	syncStep        = 200 * time.Millisecond
 	syncRate        = 16000.0
 	syncBurst       = 32000.0
-	overheadBytes   = 81 // frame header and tag, UDP and IPv4
 	syncPackets     = 8  // bounds the answer to one request
 	digestReplies   = 2  // zones repaired in one exchange
 	maxSummaries    = 28 // a summary takes at most 34 bytes
 	wantBytes       = 9
 	stampBytes      = 15
-	digestInterval  = 10 * time.Second
-	syncStep        = 200 * time.Millisecond
-	stampInterval   = 5 * time.Second
-	seedInterval    = time.Minute
-	joinSpread      = time.Second
-	maxJoinBackoff  = 30 * time.Second
-	welcomeRecords  = 16
-	welcomeRate     = 50.0 // answers to joins per second
-	welcomeBurst    = 50.0
-	returnStamps    = 2 // advances that end the loss of a zone
-	failedPeerShare = 8 // one digest in so many goes to a failed member
-	delegatesPer    = 2
+	overheadBytes   = 81 // frame header and tag, UDP and IPv4
+	failedPeerShare = 8  // one digest in so many goes to a failed member
 	bucketCount     = 64
 )
 
+const (
+	seedInterval   = time.Minute
+	joinSpread     = time.Second
+	maxJoinBackoff = 30 * time.Second
+	welcomeRecords = 16
+	welcomeRate    = 50.0 // answers to joins per second
+	welcomeBurst   = 50.0
+)
+
 // Config describes the own process.
 type Config struct {
 	// Self is the first announcement. Its Incarnation must exceed that of any
@@ -87,6 +107,36 @@
 	Rand *rand.Rand
 }
 
+// ConfigError reports a setting with which other members would reject the
+// announcements of this process.
+type ConfigError struct {
+	Field  string
+	Reason string
+}
+
+func (e *ConfigError) Error() string { return "membership: " + e.Field + ": " + e.Reason }
+
+// Validate checks what New relies on.
+func (c Config) Validate() error {
+	switch {
+	case c.Self.VM == "" || len(c.Self.VM) > maxNameBytes:
+		return &ConfigError{Field: "vm", Reason: "must have 1 to 64 bytes"}
+	case len(c.Self.Service) > maxNameBytes:
+		return &ConfigError{Field: "service", Reason: "must have at most 64 bytes"}
+	case c.Self.Zone.IsZero() || len(c.Self.Zone.String()) > maxZoneBytes:
+		return &ConfigError{Field: "zone", Reason: "must have 1 to 64 bytes"}
+	case !c.Self.Role.Valid():
+		return &ConfigError{Field: "role", Reason: "unknown"}
+	case !c.Self.Address.IsValid() || c.Self.Address.Addr().Zone() != "":
+		return &ConfigError{Field: "address", Reason: "must be an address without a scope"}
+	case !slices.Contains(statuses, c.Self.Status):
+		return &ConfigError{Field: "status", Reason: "not a status that a process announces"}
+	case c.Rand == nil:
+		return &ConfigError{Field: "rand", Reason: "missing"}
+	}
+	return nil
+}
+
 // Send is a message for one address.
 type Send struct {
 	To   netip.AddrPort
--- a/internal/membership/delegate.go
+++ b/internal/membership/delegate.go
@@ -74,7 +74,7 @@
 	budget := recordBytes
 	for len(n.cross) > 0 {
 		r := n.cross[0]
-		if len(r.wire()) > budget {
+		if len(batch) > 0 && len(r.wire()) > budget {
 			break
 		}
 		budget -= len(r.wire())
--- a/internal/membership/fleet/fleet.go
+++ b/internal/membership/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"bramleyhold.example/bramleyhold/internal/membership"
@@ -41,6 +42,10 @@
 	// Between counts the bytes between zones, by sender and receiver zone.
 	Between map[[2]zone.ID]int64
 
+	// Handled and HandleTime measure the processor time of received messages.
+	Handled    int64
+	HandleTime time.Duration
+
 	network   *memlink.Network
 	rng       *rand.Rand
 	seeds     []netip.AddrPort
@@ -181,17 +186,43 @@
 		f.Now = p.At
 	}
 	to.Received += int64(len(p.Body) + frameOverhead)
-	f.Do(to, to.Node.Handle(f.Now, p.From, p.Body))
+	start := time.Now()
+	out := to.Node.Handle(f.Now, p.From, p.Body)
+	f.HandleTime += time.Since(start)
+	f.Handled++
+	f.Do(to, out)
 }
 
 // ResetCounters starts the byte counters again.
 func (f *Fleet) ResetCounters() {
 	clear(f.Between)
+	f.Handled, f.HandleTime = 0, 0
 	for _, m := range f.Members {
 		m.Sent, m.Received, m.Messages = 0, 0, 0
 	}
 }
 
+// AllKnow reports whether every running member knows count members.
+func (f *Fleet) AllKnow(count int) bool {
+	for _, m := range f.Members {
+		if !m.Stopped && m.Node.Size() != count {
+			return false
+		}
+	}
+	return true
+}
+
+// AllHold reports whether every other running member gives the subject one of
+// the statuses.
+func (f *Fleet) AllHold(subject *Member, statuses ...view.Status) bool {
+	for _, m := range f.Members {
+		if !m.Stopped && m != subject && !slices.Contains(statuses, m.StatusOf(subject)) {
+			return false
+		}
+	}
+	return true
+}
+
 // Sees returns how many members the node counts with the given status.
 func (m *Member) Sees(status view.Status) int {
 	count := 0
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -44,18 +44,18 @@
 }
 
 func (n *Node) queue(r *record) {
-	r.sends, r.queued = 0, true
+	r.sends, r.heard, r.queued = 0, 0, true
 	n.gossip.levels[0] = append(n.gossip.levels[0], r)
 }
 
 // sendLimit returns how often one change is sent by each node.
 func (n *Node) sendLimit() int {
 	size := float64(len(n.self.zone.live) + 1)
-	return min(maxSends, spreadFactor*int(math.Ceil(math.Log10(size))))
+	return min(maxSends, max(minSends, spreadFactor*int(math.Ceil(math.Log10(size)))))
 }
 
 // take removes up to a number of bytes of records from the queue.
-func (n *Node) take(budget int, except *record) []cbor.RawMessage {
+func (n *Node) take(now time.Time, budget int, except *record) []cbor.RawMessage {
 	var taken []cbor.RawMessage
 	var again []*record
 	limit := n.sendLimit()
@@ -67,6 +67,11 @@
 				used++ // sent or changed since it was queued
 				continue
 			}
+			if now.Sub(r.changedAt) > gossipAge {
+				used++
+				r.queued = false
+				continue
+			}
 			if r == except {
 				used++ // knows its own announcement
 				r.sends++
@@ -80,7 +85,8 @@
 			used++
 			budget -= size
 			taken = append(taken, r.wire())
-			r.sends++
+			r.sends += 1 + r.heard
+			r.heard = 0
 			again = append(again, r)
 		}
 		n.gossip.levels[level] = entries[used:]
@@ -100,14 +106,14 @@
 
 // piggyback adds queued changes to a probe message. A receiver that is held
 // for suspected or failed is told first.
-func (n *Node) piggyback(m *message, to *record) {
+func (n *Node) piggyback(now time.Time, m *message, to *record) {
 	if to != nil && to.verdict != alive {
 		m.Records = append(m.Records, to.wire())
 	}
 	if to != nil && to.zone != n.self.zone {
 		return
 	}
-	for _, raw := range n.take(piggybackBytes, to) {
+	for _, raw := range n.take(now, piggybackBytes, to) {
 		m.Records = append(m.Records, raw)
 		n.gossip.allowance.spend(len(raw))
 	}
@@ -152,7 +158,7 @@
 	}
 	usable := func(r *record) bool { return r != n.self }
 	for _, peer := range n.pick(nil, n.self.zone.live, gossipFanout, usable) {
-		m := &message{Kind: kindGossip, Records: n.take(recordBytes, nil)}
+		m := &message{Kind: kindGossip, Records: n.take(now, recordBytes, nil)}
 		if len(m.Records) == 0 {
 			return
 		}
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -27,6 +27,7 @@
 	names map[service.Name]service.Name
 
 	started   bool
+	startedAt time.Time
 	probes    prober
 	gossip    gossiper
 	repair    repairer
@@ -41,6 +42,7 @@
 }
 
 // New returns a node that knows only itself. The first Tick starts the join.
+// The configuration must pass Validate.
 func New(config Config) *Node {
 	n := &Node{
 		seeds:     slices.Clone(config.Seeds),
@@ -63,6 +65,9 @@
 // the count is the same.
 func (n *Node) Changes() uint64 { return n.changes }
 
+// Size returns how many members are known, including failed ones.
+func (n *Node) Size() int { return len(n.records) }
+
 // Self returns the own announcement.
 func (n *Node) Self() view.Member { return n.self.member }
 
@@ -127,10 +132,10 @@
 // start sets the first deadlines. Random offsets keep processes that start
 // together from sending together.
 func (n *Node) start(now time.Time) {
-	n.started = true
+	n.started, n.startedAt = true, now
 	n.self.zone.stampAt = now
 	n.probes.nextAt = now.Add(n.jitter(probeInterval))
-	n.repair.nextAt = now.Add(n.jitter(digestInterval))
+	n.repair.nextAt = now.Add(n.jitter(youngInterval))
 	n.repair.seedAt = now.Add(n.jitter(seedInterval))
 	n.joining.nextAt = now.Add(n.jitter(joinSpread))
 	n.stampAt = now.Add(n.jitter(stampInterval))
--- a/internal/membership/node_test.go
+++ b/internal/membership/node_test.go
@@ -34,22 +34,13 @@
 	return true
 }
 
-func allHold(f *fleet.Fleet, subject *fleet.Member, status view.Status) bool {
-	for _, m := range f.Members {
-		if !m.Stopped && m != subject && m.StatusOf(subject) != status {
-			return false
-		}
-	}
-	return true
-}
-
 // Guards against a lost VM that stays in the view, and against a stale record
 // that outlives the return of the VM under the same address.
 func TestLostMemberIsFailedAndReturnsAsNewIncarnation(t *testing.T) {
 	f := build(t, 1, 30, 3)
 	lost := f.Members[10]
 	lost.Stopped = true
-	took, ok := f.RunUntil(time.Minute, func() bool { return allHold(f, lost, view.Failed) })
+	took, ok := f.RunUntil(time.Minute, func() bool { return f.AllHold(lost, view.Failed) })
 	require.True(t, ok)
 	t.Logf("failed everywhere after %v", took)
 	f.Restart(lost)
@@ -79,7 +70,7 @@
 			f.Run(time.Minute)
 			for _, subject := range f.Members {
 				if subject != f.Members[4] {
-					require.True(t, allHold(f, subject, view.Ready), "%s was removed", subject.Node.Self().VM)
+					require.True(t, f.AllHold(subject, view.Ready), "%s was removed", subject.Node.Self().VM)
 				}
 			}
 		})
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -43,7 +43,7 @@
 	if target == nil || p.own != nil {
 		return
 	}
-	p.own = &probe{target: target, seq: n.ping(target, out), startAt: now}
+	p.own = &probe{target: target, seq: n.ping(now, target, out), startAt: now}
 }
 
 // nextTarget returns the next member of the own zone to probe.
@@ -69,10 +69,10 @@
 }
 
 // ping sends a probe. A suspected target is told so, so that it can refute.
-func (n *Node) ping(target *record, out *Output) uint32 {
+func (n *Node) ping(now time.Time, target *record, out *Output) uint32 {
 	n.probes.seq++
 	m := &message{Kind: kindPing, Seq: n.probes.seq, Target: target.hash, Stamps: n.stamps()}
-	n.piggyback(m, target)
+	n.piggyback(now, m, target)
 	n.emit(out, target.member.Address, m)
 	return n.probes.seq
 }
@@ -88,7 +88,7 @@
 		// The sender is told whom it reached and repairs itself.
 		answer.Records = append(answer.Records, n.self.wire())
 	}
-	n.piggyback(answer, sender)
+	n.piggyback(now, answer, sender)
 	n.emit(out, from, answer)
 	if sender == nil {
 		n.repair.soon(now)
@@ -189,7 +189,7 @@
 		return
 	}
 	n.probes.relayed = append(n.probes.relayed, &probe{
-		target: target, seq: n.ping(target, out), startAt: now, replyTo: from, replySeq: m.Seq,
+		target: target, seq: n.ping(now, target, out), startAt: now, replyTo: from, replySeq: m.Seq,
 	})
 }
 
@@ -203,7 +203,7 @@
 		}
 		if age >= relayRetry && !p.retried {
 			p.retried = true
-			n.resend(p, out)
+			n.resend(now, p, out)
 		}
 		kept = append(kept, p)
 	}
@@ -212,9 +212,9 @@
 
 // resend repeats a ping with its sequence number, so that the answer to
 // either one counts.
-func (n *Node) resend(p *probe, out *Output) {
+func (n *Node) resend(now time.Time, p *probe, out *Output) {
 	m := &message{Kind: kindPing, Seq: p.seq, Target: p.target.hash}
-	n.piggyback(m, p.target)
+	n.piggyback(now, m, p.target)
 	n.emit(out, p.target.member.Address, m)
 }
 
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -38,7 +38,10 @@
 	index int
 	// sends counts how often the current content was sent; it is the level of
 	// the record in the queue.
-	sends  int
+	sends int
+	// heard counts copies received while queued: each stands for a send, so
+	// that a change that most members have is soon no longer sent.
+	heard  int
 	queued bool
 	// crossQueued: waits to be sent to other zones.
 	crossQueued bool
--- a/internal/membership/repair.go
+++ b/internal/membership/repair.go
@@ -11,6 +11,7 @@
 // repairer is the state of the anti-entropy of one node.
 type repairer struct {
 	nextAt    time.Time
+	crossAt   time.Time // next digest for the other zones
 	seedAt    time.Time
 	allowance allowance
 }
@@ -43,14 +44,15 @@
 	if now.Before(n.repair.nextAt) {
 		return
 	}
-	n.repair.nextAt = now.Add(digestInterval)
+	n.repair.nextAt = now.Add(n.repairInterval(now))
 	m := n.digestMessage()
 	if to, ok := n.repairPeer(); ok {
 		n.emit(out, to, m)
 	}
-	if n.delegateRank() < 0 {
+	if n.delegateRank() < 0 || now.Before(n.repair.crossAt) {
 		return
 	}
+	n.repair.crossAt = now.Add(digestInterval)
 	for _, to := range n.counterparts() {
 		n.emit(out, to.member.Address, m)
 	}
@@ -65,6 +67,15 @@
 	}
 }
 
+// repairInterval is shorter for a young process, which may meet only peers
+// that know as little as itself.
+func (n *Node) repairInterval(now time.Time) time.Duration {
+	if now.Sub(n.startedAt) < youngAge {
+		return youngInterval
+	}
+	return digestInterval
+}
+
 // repairPeer returns a member of the own zone. Now and then it is one that
 // is held for failed, so that the two sides of a healed partition meet.
 func (n *Node) repairPeer() (netip.AddrPort, bool) {
--- /dev/null
+++ b/internal/slopes/membership.go
@@ -0,0 +1,109 @@
+package slopes
+
+import (
+	"time"
+
+	"bramleyhold.example/bramleyhold/internal/membership/fleet"
+	"bramleyhold.example/bramleyhold/internal/view"
+)
+
+const (
+	settleTime  = 60 * time.Second
+	idleTime    = 60 * time.Second
+	patience    = 3 * time.Minute
+	seedCount   = 3
+	manyZones   = 6
+	fewZones    = 3
+	manyMembers = 600
+)
+
+// fleetSizes are the sizes at which messages are counted. The last one is a
+// single zone of the size that the design states for each of its six zones.
+var fleetSizes = []struct{ members, zones int }{{20, fewZones}, {100, fewZones}, {manyMembers, manyZones}, {1100, 1}}
+
+func measureMembership(p *printer) error {
+	for _, size := range fleetSizes {
+		if err := measureFleet(p, size.members, size.zones); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measureFleet(p *printer, members, zones int) error {
+	f := fleet.New(p.seed, seedCount)
+	names := fleet.Zones(zones)
+	for i := range members {
+		f.Add(names[i%zones])
+	}
+	figures := []figure{}
+	took, _ := f.RunUntil(patience, func() bool { return f.AllKnow(members) })
+	figures = append(figures, figure{"membership.join_all", took.Seconds(), "s"})
+	figures = append(figures, traffic(f, "join_all", took)...)
+	f.Run(settleTime)
+	f.ResetCounters()
+	f.Run(idleTime)
+	figures = append(figures, traffic(f, "idle", idleTime)...)
+	handle := float64(f.HandleTime.Nanoseconds()) / float64(f.Handled)
+	figures = append(figures,
+		figure{"membership.idle.messages_handled", float64(f.Handled) / idleTime.Seconds() / float64(members), "1/s per node"},
+		figure{"membership.idle.handle", handle, "ns per message"})
+	figures = append(figures, changes(f)...)
+	figures = append(figures, figure{"membership.body_max", float64(largestBody(f)), "B"})
+	for _, x := range figures {
+		if err := p.add(x.name, members, x.value, x.unit); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type figure struct {
+	name  string
+	value float64
+	unit  string
+}
+
+// traffic returns the bytes per second of nodes and links since the reset.
+func traffic(f *fleet.Fleet, phase string, d time.Duration) []figure {
+	var sum, most, between int64
+	for _, m := range f.Members {
+		sum += m.Sent
+		most = max(most, m.Sent, m.Received)
+	}
+	for _, b := range f.Between {
+		between = max(between, b)
+	}
+	perSecond := func(bytes int64) float64 { return float64(bytes) / d.Seconds() }
+	return []figure{
+		{"membership." + phase + ".sent_mean", perSecond(sum) / float64(len(f.Members)), "B/s per node"},
+		{"membership." + phase + ".sent_or_received_max", perSecond(most), "B/s per node"},
+		{"membership." + phase + ".zone_link_max", perSecond(between), "B/s per pair of zones"},
+	}
+}
+
+// changes returns the times in which one change reaches every member.
+func changes(f *fleet.Fleet) []figure {
+	var figures []figure
+	subject := f.Members[len(f.Members)/2]
+	leaving := subject.Node.Self()
+	leaving.Status = view.Leaving
+	f.ResetCounters()
+	f.Do(subject, subject.Node.Announce(f.Now, leaving))
+	took, _ := f.RunUntil(patience, func() bool { return f.AllHold(subject, view.Leaving) })
+	figures = append(figures, figure{"membership.spread_leaving", took.Seconds(), "s"})
+	subject.Stopped = true
+	start := f.Now
+	_, _ = f.RunUntil(patience, func() bool { return f.AllHold(subject, view.Suspected, view.Failed) })
+	figures = append(figures, figure{"membership.crash_to_suspected", f.Now.Sub(start).Seconds(), "s"})
+	_, _ = f.RunUntil(patience, func() bool { return f.AllHold(subject, view.Failed) })
+	return append(figures, figure{"membership.crash_to_failed", f.Now.Sub(start).Seconds(), "s"})
+}
+
+func largestBody(f *fleet.Fleet) int {
+	largest := 0
+	for _, m := range f.Members {
+		largest = max(largest, m.MaxBody)
+	}
+	return largest
+}
