Forwarding in batches, without an allocation for the frame tag

Cause: a balancer read packets one by one, and sealing a frame allocated 48 bytes, because the HMAC of peer messages let the whole secret escape to the heap. Change: packet sources over UDP are read in batches; the HMAC gets a copy of its key; make bench.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GOFUMPT := go run mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
 PROGRAMS := $(notdir $(wildcard cmd/*))
 
-.PHONY: build test fmt lint generate e2e slopes
+.PHONY: build test fmt lint generate e2e slopes bench
 
 build: ## Builds all programs into bin/.
 	go build -o bin/ ./cmd/...
@@ -28,3 +28,7 @@
 
 slopes: ## Measures how state, messages and processor time grow with the fleet.
 	go run ./cmd/bramley-dev slopes
+
+bench: ## Compares forwarding with a bare batched UDP relay; prints costs per decision.
+	go test -run '^$$' -bench Forwarding -benchtime 2s -count 3 ./internal/node
+	go test -run '^$$' -bench . ./internal/frame ./internal/packet ./internal/balancer ./internal/agent
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -111,14 +111,21 @@
 		return nil, errTruncated
 	}
 	body := b[end+size:]
-	var buf [peerTagBytes]byte
-	want := appendTag(buf[:0], &secret, h.Kind, b[:end], body)
-	if subtle.ConstantTimeCompare(want, b[end:end+size]) != 1 {
+	if !validTag(&secret, h.Kind, b[:end], b[end:end+size], body) {
 		return nil, errBadTag
 	}
 	return body, nil
 }
 
+func validTag(s *Secret, kind Kind, header, tag, body []byte) bool {
+	if kind == KindPacket {
+		want := packetTag(s, header, body)
+		got := binary.BigEndian.Uint64(tag)
+		return subtle.ConstantTimeEq(int32(want>>32), int32(got>>32))&subtle.ConstantTimeEq(int32(want), int32(got)) == 1
+	}
+	return hmac.Equal(messageTag(s, header, body), tag)
+}
+
 func tagBytes(kind Kind) int {
 	switch kind {
 	case KindPacket:
@@ -131,17 +138,23 @@
 
 func appendTag(dst []byte, s *Secret, kind Kind, header, body []byte) []byte {
 	if kind == KindPacket {
-		return appendPacketTag(dst, s, header, body)
+		return binary.BigEndian.AppendUint64(dst, packetTag(s, header, body))
 	}
-	mac := hmac.New(sha256.New, s.MAC[:])
+	return append(dst, messageTag(s, header, body)...)
+}
+
+func messageTag(s *Secret, header, body []byte) []byte {
+	// The copy keeps the secret of data frames off the heap.
+	key := s.MAC
+	mac := hmac.New(sha256.New, key[:])
 	mac.Write(header)
 	mac.Write(body)
-	return append(dst, mac.Sum(nil)[:peerTagBytes]...)
+	return mac.Sum(nil)[:peerTagBytes]
 }
 
-func appendPacketTag(dst []byte, s *Secret, header, body []byte) []byte {
+func packetTag(s *Secret, header, body []byte) uint64 {
 	var covered [MaxOverhead + coveredBytes]byte
 	n := copy(covered[:], header)
 	n += copy(covered[n:], body[:min(len(body), coveredBytes)])
-	return binary.BigEndian.AppendUint64(dst, siphash.Hash(s.K0, s.K1, covered[:n]))
+	return siphash.Hash(s.K0, s.K1, covered[:n])
 }
--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -97,25 +97,62 @@
 	return fmt.Sprintf("no packet for %s (last one %s ago)", quietBeforeStop, b.quietFor().Round(time.Millisecond))
 }
 
+// batchDevice is a device that reads several packets with one system call.
+type batchDevice interface {
+	ReceiveBatch(b *udplink.Batch) error
+}
+
 // forward handles packets of callers until the device is closed.
 func (b *Balancer) forward() error {
-	f := &forwarder{b: b, queue: b.transport.link.NewQueue(), forwarded: metrics.GetOrRegisterCounter("forwarded", b.cfg.Metrics)}
-	buffer := make([]byte, packetBufferBytes)
+	f := b.newForwarder()
+	read := b.readOne(f)
+	if device, ok := b.device.(batchDevice); ok {
+		read = readBatch(device, f)
+	}
 	for {
-		n, err := b.device.ReadPacket(buffer)
+		err := read()
 		if errors.Is(err, os.ErrClosed) || udplink.Closed(err) {
 			return nil
 		}
 		if err != nil {
 			return fmt.Errorf("read packets: %w", err)
 		}
-		f.handle(buffer[:n])
 		if err := f.queue.Flush(); err != nil {
 			b.transport.count("drop.send")
 		}
 	}
 }
 
+func (b *Balancer) newForwarder() *forwarder {
+	return &forwarder{b: b, queue: b.transport.link.NewQueue(), forwarded: metrics.GetOrRegisterCounter("forwarded", b.cfg.Metrics)}
+}
+
+func (b *Balancer) readOne(f *forwarder) func() error {
+	buffer := make([]byte, packetBufferBytes)
+	return func() error {
+		n, err := b.device.ReadPacket(buffer)
+		if err != nil {
+			return err
+		}
+		f.handle(time.Now(), buffer[:n])
+		return nil
+	}
+}
+
+func readBatch(device batchDevice, f *forwarder) func() error {
+	batch := udplink.NewBatch()
+	return func() error {
+		if err := device.ReceiveBatch(batch); err != nil {
+			return err
+		}
+		now := time.Now()
+		for i := range batch.Len() {
+			f.handle(now, batch.Datagram(i))
+		}
+		return nil
+	}
+}
+
 // forwarder is the state of one forwarding goroutine.
 type forwarder struct {
 	b         *Balancer
@@ -126,9 +163,8 @@
 	forwarded metrics.Counter
 }
 
-func (f *forwarder) handle(p []byte) {
+func (f *forwarder) handle(now time.Time, p []byte) {
 	b := f.b
-	now := time.Now()
 	b.lastPacket.Store(now.UnixNano())
 	if err := f.accept(p); err != nil {
 		b.transport.countPacket(err)
--- a/internal/udplink/packets.go
+++ b/internal/udplink/packets.go
@@ -29,6 +29,9 @@
 	return n, err
 }
 
+// ReceiveBatch reads at least one IP packet.
+func (p *PacketSource) ReceiveBatch(b *Batch) error { return p.link.Receive(b) }
+
 // WritePacket sends one IP packet to the sink.
 func (p *PacketSource) WritePacket(b []byte) error { return p.link.Send(b, p.sink) }
 
