agent: flow phases, queue, recovery, claims and drain

Cause: the first version of the agent scanned every flow on every tick, believed any reset, lost half-open flows on a restart because their SYN-ACK was unknown, refused openings when all slots were busy, and had no recovery, claims or drain.

Change: - Flow table keyed by the flow hash with an expiry wheel per shard. Resets of a caller are believed only at the next expected sequence number; a SYN that is late, repeated or reuses a port is told apart by its sequence number. Half-open flows give way to each other, established flows never do. - Openings without a free slot wait at the placer (Hold, Release, Discard), first in first out, until the deadline of the contract. - Load reports announce departures at once within a budget of 2 KB/s; placements are confirmed later. - Registrations are renewed shard by shard, follow a view change within 1 s by difference, and order two holders of one key by their openings. - Recovery in parts from peers, handoff as CBOR, drain without a time limit. - Claims for openings with payload of non-idempotent services. - Refusals carry a proof that no payload was delivered; without it the opening is dropped and the caller learns nothing about the outcome.

--- a/internal/agent/action.go
+++ b/internal/agent/action.go
@@ -21,15 +21,19 @@
 	Reply
 	// Forward the packet to the agent at To with Header.
 	Forward
-	// Refuse the opening with a reset to the caller: it was not run.
+	// Refuse the opening with a reset to the caller: it was not run. If Ticket
+	// is not 0, the opening is the held packet of Ticket, which is forgotten.
+	// A refused datagram is answered with an ICMP error (port unreachable).
 	Refuse
 	// ResetCaller ends a flow that nobody holds with a reset to the caller.
 	ResetCaller
 	// Drop and count the packet.
 	Drop
-	// Hold keeps a copy of the packet under Ticket.
+	// Hold keeps a copy of the packet, with the header that it came with,
+	// under Ticket until a Release, a Discard or a Refuse names the ticket.
 	Hold
-	// Release handles the held packet of Ticket again with HandleFrame.
+	// Release handles the held packet of Ticket again with HandleFrame and the
+	// header that it came with, and forgets it.
 	Release
 	// Discard forgets the held packet of Ticket.
 	Discard
@@ -56,6 +60,29 @@
 	TooManyPasses    Reason = "too_many_passes"
 	TrafficOff       Reason = "traffic_off"
 	NotReady         Reason = "not_ready"
+	// Shedding: the upstream itself asks for less work.
+	Shedding Reason = "shedding"
+	// LateOpening: a delayed copy of the opening of a flow that has ended.
+	LateOpening Reason = "late_opening"
+	// AlreadyQueued: a copy of an opening that waits here.
+	AlreadyQueued Reason = "already_queued"
+	QueueFull     Reason = "queue_full"
+	// QueueDeadline: no slot became free within the deadline of the contract.
+	QueueDeadline Reason = "queue_deadline"
+	// CallerGaveUp: the caller reset or no longer repeats a queued opening.
+	CallerGaveUp Reason = "caller_gave_up"
+	// BufferFull: too many packets arrived during a recovery.
+	BufferFull Reason = "buffer_full"
+	// OutcomeUnknown: the opening cannot be refused as not run, because a part
+	// of it may have reached an upstream.
+	OutcomeUnknown Reason = "outcome_unknown"
+	// ClaimDenied, ClaimTimeout: the home did not let the opening run here.
+	ClaimDenied  Reason = "claim_denied"
+	ClaimTimeout Reason = "claim_timeout"
+	// RegistryFull: no room to keep the flow of another agent.
+	RegistryFull Reason = "registry_full"
+	// UpstreamLost: the upstream that held the flow has failed.
+	UpstreamLost Reason = "upstream_lost"
 )
 
 // Action is one thing that the adapter has to do, in the order given.
--- a/internal/agent/flows.go
+++ b/internal/agent/flows.go
@@ -8,46 +8,68 @@
 
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/packet"
+	"bramleyhold.example/bramleyhold/internal/view"
 )
 
-const flowShards = 64
+const (
+	flowShards = 64
+	// staleHalfOpen is the age from which a half-open flow gives way to an
+	// opening at the connection limit: the SYN-ACK retransmission interval.
+	staleHalfOpen = time.Second
+)
 
-// flowRef finds a flow without its key being hashed again.
-type flowRef struct {
-	hash uint64
-	key  flow.Key
+type flowShard struct {
+	mu sync.Mutex
+	// flows is keyed by the keyed hash alone, which saves 64 bytes a flow. Of
+	// two flows with one hash only the first is admitted.
+	flows map[uint64]*flowState
+	wheel wheel
+	// halfOpen holds half-open flows in the order of their openings. Flows in
+	// another phase are skipped when they reach the head.
+	halfOpen []*flowState
+	// oldest is openedAt of the head of halfOpen, or 0.
+	oldest atomic.Int64
+	// announced is the service as of which keepers know the flows.
+	announced *view.Service
 }
 
-// flowState is one flow that this agent holds.
-type flowState struct {
-	phase     flow.Phase
-	alias     netip.AddrPort
-	holdsSlot bool
-	// synAck is the sequence number of the upstream's SYN-ACK.
-	synAck      uint32
-	synAckSeen  bool
-	callerFin   bool
-	upstreamFin bool
-	lastSeen    time.Time
-	createdAt   time.Time
+func (s *flowShard) find(hash uint64, key flow.Key) *flowState {
+	f := s.flows[hash]
+	if f == nil || f.key != key {
+		return nil
+	}
+	return f
 }
 
-type flowShard struct {
-	mu    sync.Mutex
-	flows map[flow.Key]*flowState
+// trimHalfOpen drops the heads of the queue that are no longer half-open.
+func (s *flowShard) trimHalfOpen() {
+	n := 0
+	for n < len(s.halfOpen) && (s.halfOpen[n].phase != flow.HalfOpen || s.halfOpen[n].marks.has(removed)) {
+		s.halfOpen[n] = nil
+		n++
+	}
+	s.halfOpen = s.halfOpen[n:]
+	if len(s.halfOpen) == 0 {
+		s.halfOpen = nil
+		s.oldest.Store(0)
+		return
+	}
+	s.oldest.Store(s.halfOpen[0].openedAt)
 }
 
 type flowTable struct {
 	shards      [flowShards]flowShard
 	established atomic.Int64
 	halfOpen    atomic.Int64
+	closing     atomic.Int64
 	slots       atomic.Int64
+	lastExpiry  atomic.Int64
 }
 
 func newFlowTable() *flowTable {
 	t := &flowTable{}
 	for i := range t.shards {
-		t.shards[i].flows = map[flow.Key]*flowState{}
+		t.shards[i].flows = map[uint64]*flowState{}
 	}
 	return t
 }
@@ -63,64 +85,54 @@
 const (
 	notHeld deliverResult = iota
 	delivered
-	// mismatch: a half-open flow whose SYN-ACK the caller did not answer.
+	// mismatch: the packet belongs to a flow with this key at another agent.
 	mismatch
 )
 
 // deliver hands a packet of a caller to the flow that it belongs to.
-func (t *flowTable) deliver(a *arrival, c *Core, out *Actions) deliverResult {
-	m, key := a.m, a.key
-	s := t.shard(a.hash)
+func (c *Core) deliver(a *arrival, out *Actions) deliverResult {
+	s := c.flows.shard(a.hash)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f, ok := s.flows[key]
-	if !ok {
+	f := s.find(a.hash, a.key)
+	if f == nil {
 		return notHeld
 	}
-	if f.phase == flow.Closing && m.Opening() && key.Protocol == packet.ProtocolTCP {
-		// The caller reuses its port for a new connection.
-		t.remove(s, a.ref(), f, c)
+	switch f.fit(a.m) {
+	case reusesPort:
+		c.remove(s, f)
 		return notHeld
-	}
-	if !f.answers(m) {
+	case lateOpening:
+		out.drop(LateOpening)
+		return delivered
+	case fitsOther:
 		return mismatch
 	}
-	t.advanceCaller(f, m)
-	f.lastSeen = a.now
-	out.add(Action{Kind: Deliver, Flow: key, Alias: f.alias, Upstream: c.cfg.Upstream})
+	c.advanceCaller(s, f, a)
+	out.add(Action{Kind: Deliver, Flow: a.key, Alias: f.alias, Upstream: c.cfg.Upstream})
 	return delivered
 }
 
-// answers reports whether a packet of the caller belongs to this flow rather
-// than to one with the same key that another agent opened.
-func (f *flowState) answers(m *packet.Meta) bool {
-	if f.phase != flow.HalfOpen || m.Protocol != packet.ProtocolTCP || m.Quoted {
-		return true
-	}
-	if m.Opening() || !m.Flags.Has(packet.ACK) {
-		return true
-	}
-	if !f.synAckSeen {
-		return false
-	}
-	const windowLimit = 1 << 30
-	return m.Ack-(f.synAck+1) < windowLimit
-}
-
-func (t *flowTable) advanceCaller(f *flowState, m *packet.Meta) {
+func (c *Core) advanceCaller(s *flowShard, f *flowState, a *arrival) {
+	m := a.m
 	if m.Quoted {
 		return
 	}
-	if f.phase == flow.HalfOpen && confirms(m) {
-		t.setPhase(f, flow.Established)
+	c.touch(f, a.nanos)
+	if m.Flags.Has(packet.RST) && m.Protocol == packet.ProtocolTCP {
+		if f.believesReset(m) {
+			c.setPhase(s, f, flow.Closing)
+		}
+		return
 	}
-	if m.Flags.Has(packet.RST) {
-		t.setPhase(f, flow.Closing)
+	f.trackCaller(m)
+	if f.phase == flow.HalfOpen && confirms(m) {
+		c.setPhase(s, f, flow.Established)
 	}
-	if m.Flags.Has(packet.FIN) {
-		f.callerFin = true
+	if m.Flags.Has(packet.FIN) && !m.Opening() {
+		f.marks |= callerFinished
 	}
-	t.closeIfFinished(f)
+	c.closeIfFinished(s, f)
 }
 
 // confirms reports whether a packet of the caller completes the handshake.
@@ -131,64 +143,103 @@
 	return m.Flags.Has(packet.ACK) && !m.Flags.Has(packet.SYN)
 }
 
-func (t *flowTable) closeIfFinished(f *flowState) {
-	if f.callerFin && f.upstreamFin && f.phase == flow.Established {
-		t.setPhase(f, flow.Closing)
+func (c *Core) closeIfFinished(s *flowShard, f *flowState) {
+	if f.phase == flow.Established && f.marks.has(callerFinished|upstreamFinished) {
+		c.setPhase(s, f, flow.Closing)
 	}
 }
 
 // reply hands a packet of the upstream to the caller.
-func (t *flowTable) reply(now time.Time, ref flowRef, m *packet.Meta, c *Core, out *Actions) bool {
-	s := t.shard(ref.hash)
+func (c *Core) reply(now time.Time, alias netip.AddrPort, m *packet.Meta, out *Actions) bool {
+	f := c.aliases.owner(alias, m.Protocol)
+	if f == nil {
+		return false
+	}
+	s := c.flows.shard(f.hash)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f, ok := s.flows[ref.key]
-	if !ok {
+	if f.marks.has(removed) {
 		return false
 	}
-	t.advanceUpstream(f, m)
-	f.lastSeen = now
-	c.load.noteChange(t.slots.Load())
-	out.add(Action{Kind: Reply, Flow: ref.key, Alias: f.alias})
+	c.advanceUpstream(s, f, m, now.UnixNano())
+	out.add(Action{Kind: Reply, Flow: f.key, Alias: f.alias})
 	return true
 }
 
-func (t *flowTable) advanceUpstream(f *flowState, m *packet.Meta) {
+func (c *Core) advanceUpstream(s *flowShard, f *flowState, m *packet.Meta, nanos int64) {
 	if m.Quoted {
 		return
 	}
-	if m.Protocol == packet.ProtocolUDP && f.phase == flow.HalfOpen {
-		t.setPhase(f, flow.Established)
-	}
-	if m.Flags.Has(packet.SYN | packet.ACK) {
-		f.synAck, f.synAckSeen = m.Sequence, true
+	c.touch(f, nanos)
+	c.observed.note(m)
+	if m.Protocol == packet.ProtocolUDP {
+		if f.phase == flow.HalfOpen {
+			c.setPhase(s, f, flow.Established)
+		}
+		return
 	}
+	f.trackUpstream(m)
 	if m.Flags.Has(packet.RST) {
-		t.setPhase(f, flow.Closing)
+		c.setPhase(s, f, flow.Closing)
+		return
 	}
 	if m.Flags.Has(packet.FIN) {
-		f.upstreamFin = true
+		f.marks |= upstreamFinished
 	}
-	t.closeIfFinished(f)
+	c.closeIfFinished(s, f)
 }
 
-// setPhase moves a flow to another phase and keeps the counts.
-func (t *flowTable) setPhase(f *flowState, p flow.Phase) {
-	if f.phase == p {
+// setPhase moves a flow to another phase and keeps the counts. A flow does not
+// leave the closing phase.
+func (c *Core) setPhase(s *flowShard, f *flowState, p flow.Phase) {
+	if f.phase == p || f.phase == flow.Closing {
 		return
 	}
-	t.count(f.phase, -1)
-	t.count(p, 1)
+	before := f.phase
+	c.flows.count(before, -1)
+	c.flows.count(p, 1)
 	f.phase = p
+	if before == flow.HalfOpen {
+		s.trimHalfOpen()
+	}
 	if p == flow.Closing {
-		t.freeSlot(f)
+		c.freeSlot(f)
+	} else {
+		c.outbox.confirm(f)
 	}
+	s.wheel.take(f)
+	s.wheel.put(f, c.checkAt(f))
 }
 
-func (t *flowTable) freeSlot(f *flowState) {
-	if f.holdsSlot {
-		f.holdsSlot = false
-		t.slots.Add(-1)
+func (c *Core) deadline(f *flowState) int64 { return f.lastSeen + int64(f.idleLimit(&c.cfg.Timeouts)) }
+
+// checkAt is when the expiry has to look at a flow.
+func (c *Core) checkAt(f *flowState) int64 {
+	if f.marks.has(quiet | holdsSlot) {
+		return min(c.deadline(f), f.lastSeen+int64(quietLimit))
+	}
+	return c.deadline(f)
+}
+
+// touch notes a packet of a flow.
+func (c *Core) touch(f *flowState, nanos int64) {
+	f.lastSeen = nanos
+	if !f.marks.has(quiet) {
+		return
+	}
+	f.marks &^= quiet
+	if f.marks.has(slotReturned) {
+		f.marks &^= slotReturned
+		f.marks |= holdsSlot
+		c.flows.slots.Add(1)
+	}
+}
+
+func (c *Core) freeSlot(f *flowState) {
+	if f.marks.has(holdsSlot) {
+		f.marks &^= holdsSlot
+		c.flows.slots.Add(-1)
+		c.load.urgent.Store(true)
 	}
 }
 
@@ -198,48 +249,94 @@
 		t.halfOpen.Add(delta)
 	case flow.Established:
 		t.established.Add(delta)
+	case flow.Closing:
+		t.closing.Add(delta)
 	}
 }
 
-// add installs a flow. The caller of add has reserved its slot, if it holds one.
-func (t *flowTable) add(hash uint64, key flow.Key, f *flowState) {
-	s := t.shard(hash)
+// add installs a flow. The caller of add has reserved its slot, if it holds
+// one. It reports false if another flow has the hash.
+func (c *Core) add(f *flowState) bool {
+	s := c.flows.shard(f.hash)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.flows[key] = f
-	t.count(f.phase, 1)
+	if _, taken := s.flows[f.hash]; taken {
+		return false
+	}
+	s.flows[f.hash] = f
+	c.flows.count(f.phase, 1)
+	if f.phase == flow.HalfOpen {
+		s.halfOpen = append(s.halfOpen, f)
+		s.trimHalfOpen()
+	}
+	s.wheel.put(f, c.checkAt(f))
+	return true
 }
 
-func (t *flowTable) remove(s *flowShard, ref flowRef, f *flowState, c *Core) {
-	delete(s.flows, ref.key)
-	t.count(f.phase, -1)
-	t.freeSlot(f)
-	c.aliases.release(f.alias, ref.key.Protocol)
-	c.outbox.ended(ref)
+// remove ends a flow. The lock of its shard is held.
+func (c *Core) remove(s *flowShard, f *flowState) {
+	s.wheel.take(f)
+	c.forget(s, f)
 }
 
-// expire removes flows that have been idle for longer than their timeout.
-func (t *flowTable) expire(now time.Time, c *Core) {
-	for i := range t.shards {
-		s := &t.shards[i]
-		s.mu.Lock()
-		for key, f := range s.flows {
-			if now.Sub(f.lastSeen) >= c.timeout(key, f) {
-				t.remove(s, flowRef{hash: c.cfg.Hasher.Hash(key), key: key}, f, c)
-			}
+// forget is remove for a flow that the wheel has unlinked.
+func (c *Core) forget(s *flowShard, f *flowState) {
+	delete(s.flows, f.hash)
+	c.flows.count(f.phase, -1)
+	c.freeSlot(f)
+	f.marks |= removed
+	if f.phase == flow.HalfOpen {
+		s.trimHalfOpen()
+	}
+	c.aliases.release(f)
+	c.outbox.ended(flowRef{hash: f.hash, key: f.key})
+}
+
+// evictHalfOpen drops the oldest half-open flow that was opened before a time.
+// It never touches a flow in another phase.
+func (c *Core) evictHalfOpen(before int64) bool {
+	oldest, at := -1, int64(0)
+	for i := range c.flows.shards {
+		if t := c.flows.shards[i].oldest.Load(); t != 0 && t < before && (oldest < 0 || t < at) {
+			oldest, at = i, t
 		}
-		s.mu.Unlock()
 	}
+	if oldest < 0 {
+		return false
+	}
+	s := &c.flows.shards[oldest]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trimHalfOpen()
+	if len(s.halfOpen) == 0 {
+		return false
+	}
+	c.remove(s, s.halfOpen[0])
+	return true
 }
 
-func (c *Core) timeout(key flow.Key, f *flowState) time.Duration {
-	switch {
-	case f.phase == flow.HalfOpen:
-		return c.cfg.Timeouts.HalfOpen
-	case f.phase == flow.Closing:
-		return c.cfg.Timeouts.Closing
-	case key.Protocol == packet.ProtocolUDP:
-		return c.cfg.Timeouts.Datagram
+// expire removes flows that have been idle for longer than their limit. It
+// looks only at those whose slot of the wheel has come due.
+func (c *Core) expire(now time.Time) {
+	nanos := now.UnixNano()
+	step := wheelTime(nanos)
+	if c.flows.lastExpiry.Swap(step) == step {
+		return
+	}
+	for i := range c.flows.shards {
+		s := &c.flows.shards[i]
+		s.mu.Lock()
+		s.wheel.advance(nanos, func(f *flowState) {
+			if c.deadline(f) <= nanos {
+				c.forget(s, f)
+				return
+			}
+			if f.marks.has(quiet|holdsSlot) && c.checkAt(f) <= nanos {
+				c.freeSlot(f)
+				f.marks |= slotReturned
+			}
+			s.wheel.put(f, c.checkAt(f))
+		})
+		s.mu.Unlock()
 	}
-	return c.cfg.Timeouts.Established
 }
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -5,7 +5,11 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
+	"bramleyhold.example/bramleyhold/internal/packet"
 	"bramleyhold.example/bramleyhold/internal/peer"
+	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/view"
 )
 
@@ -14,27 +18,81 @@
 	loadInterval = 5 * time.Millisecond
 	// loadRepeat is how often all members get a report.
 	loadRepeat = time.Second
+	// loadConfirm delays a report that only confirms placements. It is below
+	// pendingTimeout, after which the placer would forget them.
+	loadConfirm = 400 * time.Millisecond
+	// loadBytesPerSecond and loadBurstBytes bound the load reports; loadBytes
+	// is the size of one on the wire.
+	loadBytesPerSecond = 2048
+	loadBurstBytes     = 8192
+	loadBytes          = 160
 )
 
+// Report is what the upstream says about itself, as rated by internal/health.
+type Report struct {
+	// Busy is the number of busy slots. It counts for services with long
+	// flows only; the agent counts the slots of short requests itself.
+	Busy int
+	// Slots, if not 0, lowers the number of slots of the inventory.
+	Slots int
+	// Shedding: the upstream asks for no new work.
+	Shedding bool
+}
+
+// SetReport replaces the report of the upstream.
+func (c *Core) SetReport(r Report) {
+	before := c.report.Swap(&r)
+	if before == nil || *before != r {
+		c.load.urgent.Store(true)
+	}
+}
+
+// Observed is what the agent has seen of its upstream in the data path. The
+// counts only grow.
+type Observed struct {
+	// Openings were delivered; Accepted were answered by a SYN-ACK or, for
+	// UDP, by a datagram; Resets were sent by the upstream.
+	Openings, Accepted, Resets uint64
+}
+
+type observed struct {
+	openings, accepted, resets atomic.Uint64
+}
+
+func (o *observed) note(m *packet.Meta) {
+	if m.Protocol == packet.ProtocolTCP && m.Flags.Has(packet.SYN|packet.ACK) {
+		o.accepted.Add(1)
+	}
+	if m.Protocol == packet.ProtocolTCP && m.Flags.Has(packet.RST) {
+		o.resets.Add(1)
+	}
+}
+
+// Observed returns what the agent has seen of its upstream.
+func (c *Core) Observed() Observed {
+	return Observed{
+		Openings: c.observed.openings.Load(), Accepted: c.observed.accepted.Load(), Resets: c.observed.resets.Load(),
+	}
+}
+
 // loadState decides when the load of this upstream has to be reported.
 type loadState struct {
 	sequence atomic.Uint64
-	changed  atomic.Bool
-	lastBusy atomic.Int64
+	// urgent: a slot was freed or the status changed. changed: a placement
+	// has to be confirmed. wasFull: no slot was free at some time since the
+	// last report, so that the placer may take the member as full.
+	urgent, changed, wasFull atomic.Bool
 
-	mu sync.Mutex
+	mu      sync.Mutex
+	limiter *rate.Limiter
 	// placed holds the greatest placement number by the placer's hash.
 	placed     map[uint64]uint32
+	lastBusy   int
 	lastReport time.Time
 	lastToAll  time.Time
 }
 
-// noteChange remembers that the number of busy slots differs.
-func (l *loadState) noteChange(busy int64) {
-	if l.lastBusy.Swap(busy) != busy {
-		l.changed.Store(true)
-	}
-}
+func newLoadLimiter() *rate.Limiter { return rate.NewLimiter(loadBytesPerSecond, loadBurstBytes) }
 
 // notePlacement remembers a placement that arrived from a placer.
 func (c *Core) notePlacement(a *arrival) {
@@ -61,33 +119,36 @@
 	l := peer.Load{
 		VM: c.cfg.VM, Incarnation: c.cfg.Incarnation,
 		Busy: int(c.flows.slots.Load()), Flows: established + halfOpen, Status: view.Starting,
+		Queued: int(c.placement.waiting.Load()),
 	}
 	if i := svc.IndexByHash(c.selfHash); i >= 0 {
 		u := &svc.Members[i]
 		l.Slots, l.MaxFlows, l.Status = u.Slots, u.Connections, u.Status
 	}
+	if r := c.report.Load(); r != nil {
+		l.Shedding = r.Shedding
+		if r.Slots > 0 {
+			l.Slots = min(l.Slots, r.Slots)
+		}
+		if svc.Contract.Shape == service.LongFlows {
+			l.Busy = r.Busy
+		}
+	}
+	if c.draining.Load() {
+		l.Status = view.Leaving
+	}
 	return l
 }
 
 // reportLoad sends the load to the placers after a change, and to all members
-// from time to time.
+// from time to time. When the budget is used up, changes wait for the next
+// report, except for a slot that becomes free where there was none.
 func (c *Core) reportLoad(now time.Time, svc *view.Service, out *Actions) {
-	c.load.noteChange(c.flows.slots.Load())
-	c.load.mu.Lock()
-	toAll := now.Sub(c.load.lastToAll) >= loadRepeat
-	due := toAll || (c.load.changed.Load() && now.Sub(c.load.lastReport) >= loadInterval)
-	if due {
-		c.load.lastReport = now
-		c.load.changed.Store(false)
-	}
-	if toAll {
-		c.load.lastToAll = now
-	}
-	c.load.mu.Unlock()
+	l := c.ownLoad(svc)
+	toAll, due := c.loadDue(now, svc, &l)
 	if !due {
 		return
 	}
-	l := c.ownLoad(svc)
 	l.Sequence = c.load.sequence.Add(1)
 	for i := range svc.Members {
 		if toAll || svc.IsPlacer(i) {
@@ -96,6 +157,43 @@
 	}
 }
 
+func (c *Core) loadDue(now time.Time, svc *view.Service, l *peer.Load) (toAll, due bool) {
+	s := &c.load
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	full := l.Busy >= l.Slots
+	freed := s.wasFull.Load() && !full
+	switch {
+	case l.Busy < s.lastBusy:
+		s.urgent.Store(true)
+	case l.Busy > s.lastBusy:
+		s.changed.Store(true)
+	}
+	since := now.Sub(s.lastReport)
+	toAll = now.Sub(s.lastToAll) >= loadRepeat
+	due = toAll || freed || (s.urgent.Load() && since >= loadInterval) || (s.changed.Load() && since >= loadConfirm)
+	if !due {
+		return false, false
+	}
+	if toAll || freed {
+		receivers := 1
+		if toAll {
+			receivers = max(len(svc.Members)-1, 1)
+		}
+		s.limiter.ReserveN(now, min(receivers*loadBytes, loadBurstBytes))
+	} else if !s.limiter.AllowN(now, loadBytes) {
+		return false, false
+	}
+	if toAll {
+		s.lastToAll = now
+	}
+	s.lastReport, s.lastBusy = now, l.Busy
+	s.wasFull.Store(full)
+	s.urgent.Store(false)
+	s.changed.Store(false)
+	return toAll, true
+}
+
 func (c *Core) sendLoad(svc *view.Service, member int, l peer.Load, out *Actions) {
 	u := &svc.Members[member]
 	if u.Hash == c.selfHash || !u.Reachable() {
--- a/internal/agent/opening.go
+++ b/internal/agent/opening.go
@@ -1,14 +1,15 @@
 package agent
 
 import (
+	"bramleyhold.example/bramleyhold/internal/event"
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/frame"
 	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/view"
 )
 
 // handleOpening decides about the first packet of a flow that is not held here.
 func (c *Core) handleOpening(a *arrival, out *Actions) {
-	self := a.svc.IndexByHash(c.selfHash)
 	if a.h.Flags.Has(frame.FlagPlaced) {
 		c.notePlacement(a)
 		c.admitOrReturn(a, out)
@@ -23,10 +24,10 @@
 	}
 	placer := a.svc.Placer(a.hash)
 	if placer < 0 {
-		out.add(Action{Kind: Refuse, Flow: a.key, Reason: NoUpstream})
+		c.refuse(a, NoUpstream, out)
 		return
 	}
-	if placer != self && a.h.Hops < frame.MaxHops {
+	if a.svc.Hashes[placer] != c.selfHash && a.h.Hops < frame.MaxHops {
 		next := *a.h
 		next.Flags |= frame.FlagProbed
 		c.forward(a, placer, next, out)
@@ -38,26 +39,51 @@
 // place chooses an upstream for an opening. It runs on the placer.
 func (c *Core) place(a *arrival, out *Actions) {
 	if !a.svc.Traffic {
-		out.add(Action{Kind: Refuse, Flow: a.key, Reason: TrafficOff})
+		c.refuse(a, TrafficOff, out)
 		return
 	}
 	if c.probeHome(a, out) {
 		return
 	}
-	choice := c.placement.choose(a, c.selfHash, c.ownLoad(a.svc))
-	if choice.member < 0 {
-		out.add(Action{Kind: Refuse, Flow: a.key, Reason: NoUpstream})
-		return
+	if a.h.Flags.Has(frame.FlagReturned) {
+		c.noteReturned(a)
 	}
-	if a.svc.Hashes[choice.member] == c.selfHash {
-		c.admitOrReturn(a, out)
+	d := c.decidePlacement(a, out)
+	switch d.verdict {
+	case placeRefuse:
+		c.refuse(a, d.reason, out)
+	case placeHold:
+		out.add(Action{Kind: Hold, Flow: a.key, Ticket: d.ticket})
+	case placeDuplicate:
+		out.drop(AlreadyQueued)
+	case placeMember:
+		c.sendPlaced(a, d.choice, out)
+	}
+}
+
+// sendPlaced hands an opening to the member that was chosen for it.
+func (c *Core) sendPlaced(a *arrival, chosen choice, out *Actions) {
+	u := &a.svc.Members[chosen.member]
+	c.events.record(a.now, event.Placed, a.key, string(u.VM), c.revision())
+	if u.Hash == c.selfHash {
+		reason := c.admit(a, out)
+		c.placement.settle(u.VM, chosen.number)
+		if reason == "" {
+			return
+		}
+		if a.excluded&c.selfBit(a.svc) != 0 {
+			c.refuse(a, reason, out)
+			return
+		}
+		a.excluded |= c.selfBit(a.svc)
+		c.place(a, out)
 		return
 	}
 	next := *a.h
 	next.Flags |= frame.FlagPlaced
 	next.Flags &^= frame.FlagReturned
-	next.Placement = choice.number
-	c.forward(a, choice.member, next, out)
+	next.Placement = chosen.number
+	c.forward(a, chosen.member, next, out)
 }
 
 // probeHome asks the home of a flow whether it is registered, while views may
@@ -80,7 +106,7 @@
 func (c *Core) answerProbe(a *arrival, out *Actions) {
 	placer := a.svc.Placer(a.hash)
 	if placer < 0 {
-		out.add(Action{Kind: Refuse, Flow: a.key, Reason: NoUpstream})
+		c.refuse(a, NoUpstream, out)
 		return
 	}
 	next := *a.h
@@ -93,12 +119,17 @@
 func (c *Core) admitOrReturn(a *arrival, out *Actions) {
 	reason := c.admit(a, out)
 	if reason == "" {
-		c.announceFlow(a, out)
 		return
 	}
 	placer := a.svc.Placer(a.hash)
-	if a.h.Passes >= maxPasses || placer < 0 || a.svc.Hashes[placer] == c.selfHash {
-		out.add(Action{Kind: Refuse, Flow: a.key, Reason: reason})
+	if placer >= 0 && a.svc.Hashes[placer] == c.selfHash {
+		// Another view made this agent the target of its own placement.
+		a.excluded |= c.selfBit(a.svc)
+		c.place(a, out)
+		return
+	}
+	if a.h.Passes >= maxPasses || placer < 0 {
+		c.refuse(a, reason, out)
 		return
 	}
 	next := *a.h
@@ -108,35 +139,74 @@
 	c.forward(a, placer, next, out)
 }
 
-// admit creates the flow if the upstream can take it. It returns the reason if
-// it cannot.
+// admit creates the flow, or a claim for it, if the upstream can take it. It
+// returns the reason if it cannot.
 func (c *Core) admit(a *arrival, out *Actions) Reason {
+	if c.claims.waits(a.key) {
+		out.drop(AlreadyQueued)
+		return ""
+	}
 	self := a.svc.IndexByHash(c.selfHash)
-	if self < 0 || !a.svc.Members[self].TakesWork() {
+	if self < 0 || !a.svc.Members[self].TakesWork() || c.draining.Load() {
 		return NotReady
 	}
+	if r := c.report.Load(); r != nil && r.Shedding {
+		return Shedding
+	}
 	own := &a.svc.Members[self]
+	if reason := c.makeRoom(a, own); reason != "" {
+		return reason
+	}
+	f := &flowState{key: a.key, hash: a.hash, phase: flow.HalfOpen, lastSeen: a.nanos, openedAt: a.nanos}
+	if a.svc.Contract.Shape == service.ShortRequests {
+		if !c.flows.takeSlot(own.Slots) {
+			return NoSlot
+		}
+		f.marks |= holdsSlot
+		if c.flows.slots.Load() >= int64(own.Slots) {
+			c.load.wasFull.Store(true)
+		}
+	}
+	if !c.aliases.acquire(f) {
+		c.freeSlot(f)
+		return AliasesUsedUp
+	}
+	if needsClaim(a) {
+		c.startClaim(a, f, out)
+		return ""
+	}
+	return c.install(a, f, out)
+}
+
+// install adds an admitted flow to the table and delivers its opening.
+func (c *Core) install(a *arrival, f *flowState, out *Actions) Reason {
+	f.trackCaller(a.m)
+	if !c.add(f) {
+		c.freeSlot(f)
+		c.aliases.release(f)
+		if c.deliver(a, out) == delivered {
+			return ""
+		}
+		return FlowLimit
+	}
+	out.add(Action{Kind: Deliver, Flow: a.key, Alias: f.alias, Upstream: c.cfg.Upstream})
+	c.announceFlow(a, f, out)
+	return ""
+}
+
+// makeRoom checks the limits of flows. Half-open flows give way to each other
+// and to an opening, established flows never do.
+func (c *Core) makeRoom(a *arrival, own *view.Upstream) Reason {
 	established, halfOpen := c.flows.counts()
-	if halfOpen >= c.cfg.Limits.HalfOpen {
+	if halfOpen >= c.cfg.Limits.HalfOpen && !c.evictHalfOpen(a.nanos+1) {
 		return HalfOpenLimit
 	}
-	if established+halfOpen >= own.Connections {
+	if established >= own.Connections {
 		return FlowLimit
 	}
-	holdsSlot := a.svc.Contract.Shape == service.ShortRequests
-	if holdsSlot && !c.flows.takeSlot(own.Slots) {
-		return NoSlot
-	}
-	alias, ok := c.aliases.acquire(a.ref())
-	if !ok {
-		if holdsSlot {
-			c.flows.slots.Add(-1)
-		}
-		return AliasesUsedUp
+	if established+halfOpen >= own.Connections && !c.evictHalfOpen(a.nanos-int64(staleHalfOpen)) {
+		return FlowLimit
 	}
-	f := &flowState{phase: flow.HalfOpen, alias: alias, holdsSlot: holdsSlot, lastSeen: a.now, createdAt: a.now}
-	c.flows.add(a.hash, a.key, f)
-	out.add(Action{Kind: Deliver, Flow: a.key, Alias: alias, Upstream: c.cfg.Upstream})
 	return ""
 }
 
--- a/internal/agent/registry.go
+++ b/internal/agent/registry.go
@@ -1,23 +1,22 @@
 package agent
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/peer"
-	"bramleyhold.example/bramleyhold/internal/view"
 	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
 const (
-	registryShards = 32
-	// refreshInterval is how often a holder renews its registrations.
-	refreshInterval = 30 * time.Second
+	registryShards = 64
 	// registrationLifetime lets two renewals get lost.
 	registrationLifetime = 100 * time.Second
-	// registrationCopies is the number of peers that keep a registration.
-	registrationCopies = 2
+	// sweepInterval is the time in which all shards are searched for
+	// registrations that have run out.
+	sweepInterval = 10 * time.Second
 )
 
 // registration is a flow of another agent that is remembered here.
@@ -32,13 +31,20 @@
 	flows map[flow.Key]registration
 }
 
+// registry keeps the flows that other agents have registered here.
 type registry struct {
 	shards   [registryShards]registryShard
 	capacity int
+
+	mu sync.Mutex
+	// lives holds the latest known incarnation of each holder.
+	lives map[vm.ID]vm.Incarnation
+	swept float64
+	last  time.Time
 }
 
 func newRegistry(capacity int) *registry {
-	r := &registry{capacity: max(capacity/registryShards, 1)}
+	r := &registry{capacity: max(capacity/registryShards, 1), lives: map[vm.ID]vm.Incarnation{}}
 	for i := range r.shards {
 		r.shards[i].flows = map[flow.Key]registration{}
 	}
@@ -46,7 +52,8 @@
 }
 
 func (r *registry) shard(key flow.Key) *registryShard {
-	return &r.shards[key.Caller.Port()%registryShards]
+	last := key.Caller.Addr().As16()[15]
+	return &r.shards[(key.Caller.Port()^uint16(last))%registryShards]
 }
 
 func (r *registry) find(key flow.Key) (registration, bool) {
@@ -57,109 +64,109 @@
 	return reg, ok
 }
 
-// store remembers a flow. A record of an older incarnation of the same holder
-// does not replace a newer one.
-func (r *registry) store(now time.Time, holder vm.ID, record peer.FlowRecord) bool {
+// accepts notes the incarnation of a holder and reports whether a message of
+// it is from its latest life.
+func (r *registry) accepts(holder vm.ID, incarnation vm.Incarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if incarnation < r.lives[holder] {
+		return false
+	}
+	r.lives[holder] = incarnation
+	return true
+}
+
+// stored says what became of a record.
+type stored uint8
+
+const (
+	storedNew stored = iota
+	// storedOlder: a newer flow with the key is registered by another holder.
+	storedOlder
+	storedFull
+)
+
+// store remembers a flow. Of two holders of one key the one whose flow the
+// caller has confirmed is kept, then the one with the later opening: the
+// caller has given up the other. The loser, if any, is returned.
+func (r *registry) store(now time.Time, holder vm.ID, record peer.FlowRecord) (result stored, loser vm.ID) {
 	s := r.shard(record.Key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known, ok := s.flows[record.Key]
-	if ok && known.holder == holder && known.record.Incarnation > record.Incarnation {
-		return false
+	if ok && known.holder != holder && now.Before(known.expires) {
+		if !supersedes(&record, &known.record) {
+			return storedOlder, holder
+		}
+		loser = known.holder
+	}
+	if ok && known.holder == holder && record.OpenedAt < known.record.OpenedAt {
+		return storedOlder, ""
 	}
 	if !ok && len(s.flows) >= r.capacity {
-		return false
+		return storedFull, ""
 	}
 	s.flows[record.Key] = registration{holder: holder, record: record, expires: now.Add(registrationLifetime)}
-	return true
+	return storedNew, loser
+}
+
+func supersedes(record, known *peer.FlowRecord) bool {
+	if confirmed(record) != confirmed(known) {
+		return confirmed(record)
+	}
+	return record.OpenedAt > known.OpenedAt
 }
 
-func (r *registry) remove(holder vm.ID, key flow.Key) {
+func confirmed(r *peer.FlowRecord) bool { return r.Phase != flow.HalfOpen }
+
+// remove forgets a flow that its holder has ended. A late message about an
+// earlier flow with the key does not remove a newer one.
+func (r *registry) remove(u *peer.Unregister, key flow.Key) {
 	s := r.shard(key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if known, ok := s.flows[key]; ok && known.holder == holder {
+	known, ok := s.flows[key]
+	if ok && known.holder == u.Holder && known.record.Incarnation <= u.Incarnation && known.record.OpenedAt <= u.OpenedBefore {
 		delete(s.flows, key)
 	}
 }
 
-func (r *registry) expire(now time.Time) {
+// of returns all records of a holder.
+func (r *registry) of(holder vm.ID) []peer.FlowRecord {
+	var records []peer.FlowRecord
 	for i := range r.shards {
 		s := &r.shards[i]
-		s.mu.Lock()
-		for key, reg := range s.flows {
-			if now.After(reg.expires) {
-				delete(s.flows, key)
+		s.mu.RLock()
+		for _, reg := range s.flows {
+			if reg.holder == holder {
+				records = append(records, reg.record)
 			}
 		}
-		s.mu.Unlock()
+		s.mu.RUnlock()
 	}
+	slices.SortFunc(records, byOpening)
+	return records
 }
 
-// outbox collects what peers have to be told at the next tick.
-type outbox struct {
-	mu         sync.Mutex
-	endedFlows []flowRef
-	refreshed  time.Time
-	viewSeen   *view.View
-}
-
-func (o *outbox) ended(ref flowRef) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.endedFlows = append(o.endedFlows, ref)
-}
-
-func (o *outbox) takeEnded() []flowRef {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	ended := o.endedFlows
-	o.endedFlows = nil
-	return ended
-}
-
-// announceFlow tells the peers and the balancer about a flow that was admitted.
-func (c *Core) announceFlow(a *arrival, out *Actions) {
-	c.hintOrigin(a.h, a.key, c.cfg.VM, c.cfg.Incarnation, out)
-	record, ok := c.flows.record(a.ref(), c.cfg.Incarnation)
-	if !ok {
-		return
-	}
-	for _, member := range c.keepers(a.svc, a.hash) {
-		c.sendRegister(a.svc, member, []peer.FlowRecord{record}, out)
+// expire searches the shards that are due for registrations that have run out.
+func (r *registry) expire(now time.Time) {
+	r.mu.Lock()
+	if r.last.IsZero() {
+		r.last = now
 	}
-}
-
-// keepers returns the first members in rank other than this agent.
-func (c *Core) keepers(svc *view.Service, hash uint64) []int {
-	skip := c.selfBit(svc)
-	keepers := make([]int, 0, registrationCopies)
-	for len(keepers) < registrationCopies {
-		i := svc.Next(hash, skip)
-		if i < 0 {
-			break
+	from := r.swept
+	r.swept += min(float64(now.Sub(r.last))/float64(sweepInterval), 1) * registryShards
+	r.last = now
+	to := r.swept
+	r.mu.Unlock()
+	for i := int(from); i < int(to); i++ {
+		s := &r.shards[i%registryShards]
+		s.mu.Lock()
+		for key, reg := range s.flows {
+			if now.After(reg.expires) {
+				delete(s.flows, key)
+			}
 		}
-		keepers = append(keepers, i)
-		skip |= 1 << uint(i)
-	}
-	return keepers
-}
-
-func (c *Core) sendRegister(svc *view.Service, member int, records []peer.FlowRecord, out *Actions) {
-	u := &svc.Members[member]
-	out.add(Action{Kind: Send, To: u.Address, ToVM: u.VM, Message: &peer.Message{
-		Register: &peer.Register{Holder: c.cfg.VM, Incarnation: c.cfg.Incarnation, Flows: records},
-	}})
-}
-
-// record returns what a peer has to keep of a flow.
-func (t *flowTable) record(ref flowRef, incarnation vm.Incarnation) (peer.FlowRecord, bool) {
-	s := t.shard(ref.hash)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f, ok := s.flows[ref.key]
-	if !ok {
-		return peer.FlowRecord{}, false
+		s.mu.Unlock()
 	}
-	return peer.FlowRecord{Key: ref.key, Alias: f.alias, Phase: f.phase, HoldsSlot: f.holdsSlot, Incarnation: incarnation}, true
 }
--- a/internal/agent/walk.go
+++ b/internal/agent/walk.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bramleyhold.example/bramleyhold/internal/event"
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/frame"
 	"bramleyhold.example/bramleyhold/internal/packet"
@@ -12,6 +13,9 @@
 // handleUnknown decides about a packet whose flow is not held here and that
 // does not open one.
 func (c *Core) handleUnknown(a *arrival, out *Actions) {
+	if a.m.Flags.Has(packet.RST) && c.cancelWaiting(a, out) {
+		return
+	}
 	if c.forwardRegistered(a, out) {
 		return
 	}
@@ -26,6 +30,9 @@
 		return false
 	}
 	i := a.svc.Index(reg.holder)
+	if i >= 0 && a.svc.Members[i].Status == view.Failed {
+		return c.resetLost(a, out)
+	}
 	if i < 0 || !a.svc.Members[i].Reachable() || a.svc.Tried(a.h.Tried[:])&(1<<uint(i)) != 0 {
 		return false
 	}
@@ -37,6 +44,21 @@
 	return true
 }
 
+// resetLost answers a packet whose holder has failed. Openings and datagrams
+// may be placed elsewhere. It reports whether the packet was dealt with.
+func (c *Core) resetLost(a *arrival, out *Actions) bool {
+	if a.m.Opening() || a.m.Protocol != packet.ProtocolTCP {
+		return false
+	}
+	if a.m.Quoted || a.m.Flags.Has(packet.RST) {
+		out.drop(UpstreamLost)
+		return true
+	}
+	c.events.record(a.now, event.Refused, a.key, string(UpstreamLost), c.revision())
+	out.add(Action{Kind: ResetCaller, Flow: a.key, Reason: UpstreamLost})
+	return true
+}
+
 // forwardNext passes a packet along the ranking of its flow.
 func (c *Core) forwardNext(a *arrival, out *Actions) {
 	tried := a.svc.Tried(a.h.Tried[:]) | c.selfBit(a.svc)
@@ -76,7 +98,7 @@
 func (c *Core) handleUnplaced(a *arrival, out *Actions) {
 	placer := a.svc.Placer(a.hash)
 	if placer < 0 || a.h.Passes >= maxPasses {
-		out.add(Action{Kind: Refuse, Flow: a.key, Reason: NoUpstream})
+		c.refuse(a, NoUpstream, out)
 		return
 	}
 	next := *a.h
@@ -119,7 +141,7 @@
 
 // hintOrigin tells the balancer that took the packet in who holds the flow.
 func (c *Core) hintOrigin(h *frame.Header, key flow.Key, holder vm.ID, incarnation vm.Incarnation, out *Actions) {
-	address, ok := c.view.Load().Origin(h.Origin)
+	address, ok := c.state.Load().view.Origin(h.Origin)
 	if !ok {
 		return
 	}
@@ -130,12 +152,9 @@
 
 // stale reports whether a frame was meant for an earlier life of this VM.
 func (c *Core) stale(h *frame.Header) bool {
-	return h.Incarnation != 0 && h.Incarnation < uint64(c.oldestIncarnation())
+	return h.Incarnation != 0 && h.Incarnation < c.oldest.Load() && !c.recovery.active.Load()
 }
 
-// oldestIncarnation is the oldest one whose flows this agent has taken over.
-func (c *Core) oldestIncarnation() vm.Incarnation { return c.cfg.Incarnation }
-
 func (c *Core) rejectStale(h *frame.Header, m *packet.Meta, out *Actions) {
 	c.hintOrigin(h, m.CallerKey(), "", 0, out)
 	out.drop(StaleIncarnation)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -29,6 +29,11 @@
 	Phase       flow.Phase     `cbor:"3,keyasint"`
 	HoldsSlot   bool           `cbor:"4,keyasint"`
 	Incarnation vm.Incarnation `cbor:"5,keyasint"`
+	// OpenedAt is the Unix time in nanoseconds at which the holder admitted
+	// the flow. It orders flows that use one key after another.
+	OpenedAt int64 `cbor:"6,keyasint,omitempty"`
+	// PayloadDelivered: a byte of the caller was handed to the upstream.
+	PayloadDelivered bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Register asks the receiver to keep records for the sender.
@@ -43,12 +48,25 @@
 	Holder      vm.ID          `cbor:"1,keyasint"`
 	Incarnation vm.Incarnation `cbor:"2,keyasint"`
 	Flows       []flow.Key     `cbor:"3,keyasint"`
+	// OpenedBefore is a Unix time in nanoseconds. A flow that was opened later
+	// is another one with the same key, which has not ended.
+	OpenedBefore int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Superseded tells a holder that the caller has opened a newer flow with the
+// same key at another agent.
+type Superseded struct {
+	Key flow.Key `cbor:"1,keyasint"`
+	// OpenedAt is that of the newer flow.
+	OpenedAt int64 `cbor:"2,keyasint"`
 }
 
 // Recover asks for all records that name the sender.
 type Recover struct {
 	Holder      vm.ID          `cbor:"1,keyasint"`
 	Incarnation vm.Incarnation `cbor:"2,keyasint"`
+	// Missing, if not empty, names the parts that are still wanted.
+	Missing []uint32 `cbor:"3,keyasint,omitempty"`
 }
 
 // Recovered answers Recover with a part of the records. More is false in the
@@ -58,6 +76,8 @@
 	Part  uint32       `cbor:"2,keyasint"`
 	Flows []FlowRecord `cbor:"3,keyasint"`
 	More  bool         `cbor:"4,keyasint"`
+	// Incarnation is that of the Recover message.
+	Incarnation vm.Incarnation `cbor:"5,keyasint"`
 }
 
 // Load tells how busy an upstream is. Older sequence numbers are ignored.
@@ -73,6 +93,8 @@
 	Status      view.Status    `cbor:"9,keyasint"`
 	// Placed is the greatest placement number that arrived from the receiver.
 	Placed uint32 `cbor:"10,keyasint"`
+	// Shedding: the upstream asks for no new work.
+	Shedding bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Hint tells a balancer who holds a flow. An empty holder deletes the hint.
@@ -83,12 +105,19 @@
 	Epoch       uint64         `cbor:"4,keyasint"`
 }
 
-// Claim asks the home of a flow for the exclusive right to run its opening.
+// Claim asks the home of a flow for the exclusive right to run its opening, or
+// gives that right back.
 type Claim struct {
 	Key         flow.Key       `cbor:"1,keyasint"`
 	Holder      vm.ID          `cbor:"2,keyasint"`
 	Incarnation vm.Incarnation `cbor:"3,keyasint"`
 	Epoch       uint64         `cbor:"4,keyasint"`
+	// Number orders the claims of one incarnation of the holder.
+	Number uint64 `cbor:"5,keyasint"`
+	// Release gives the claim with Number back: the opening was not run.
+	Release bool `cbor:"6,keyasint,omitempty"`
+	// Opening is the sequence number of the SYN, 0 for a datagram.
+	Opening uint32 `cbor:"7,keyasint,omitempty"`
 }
 
 // Claimed answers Claim.
@@ -97,6 +126,11 @@
 	Granted bool     `cbor:"2,keyasint"`
 	Epoch   uint64   `cbor:"3,keyasint"`
 	Reason  string   `cbor:"4,keyasint,omitempty"`
+	// Number is that of the claim.
+	Number uint64 `cbor:"5,keyasint"`
+	// Holder is set on a denial if another agent holds the flow.
+	Holder            vm.ID          `cbor:"6,keyasint,omitempty"`
+	HolderIncarnation vm.Incarnation `cbor:"7,keyasint,omitempty"`
 }
 
 // Message is one of the messages; exactly one field is set.
@@ -109,6 +143,7 @@
 	Hint       *Hint       `cbor:"6,keyasint,omitempty"`
 	Claim      *Claim      `cbor:"7,keyasint,omitempty"`
 	Claimed    *Claimed    `cbor:"8,keyasint,omitempty"`
+	Superseded *Superseded `cbor:"9,keyasint,omitempty"`
 }
 
 // DecodeError reports a message that is not valid.
@@ -153,6 +188,7 @@
 	for _, set := range []bool{
 		m.Register != nil, m.Unregister != nil, m.Recover != nil, m.Recovered != nil,
 		m.Load != nil, m.Hint != nil, m.Claim != nil, m.Claimed != nil,
+		m.Superseded != nil,
 	} {
 		if set {
 			count++
