--- a/internal/node/base.go
+++ b/internal/node/base.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/view"
 )
 
@@ -90,3 +91,26 @@
 		group.Go(func() error { return b.feed.run(ctx) })
 	}
 }
+
+// latest returns the view that was built last, or nil.
+func (b *base) latest() *view.View {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.previous
+}
+
+// ReadyMembers returns how many members of a service take work in the view of
+// this node.
+func (b *base) ReadyMembers(name service.Name) int {
+	svc := b.latest().ServiceByName(name)
+	if svc == nil {
+		return 0
+	}
+	ready := 0
+	for i := range svc.Members {
+		if svc.Members[i].TakesWork() {
+			ready++
+		}
+	}
+	return ready
+}
