Control tests with three replicas; bounded findings and reasons

Cause: racing operators, planned stops, disk loss and catch-up were untested on real replicas; an invalid inventory answered with thousands of findings in one message, and a rejection of unbounded size was kept with its operation id.

--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -23,6 +23,10 @@
 	maxInventoryBytes = 4 << 20
 	// maxRuleBytes bounds every other change.
 	maxRuleBytes = 16 << 10
+	// maxFindings and shownFindings bound the findings in an answer and in its
+	// message.
+	maxFindings   = 1000
+	shownFindings = 5
 	// retryPause is the pause before a request is tried again while no leader
 	// is known or the known one refuses.
 	retryPause = 50 * time.Millisecond
@@ -74,8 +78,14 @@
 	return invalid("the request is too large", list)
 }
 
+// invalid answers with the findings. An inventory can have thousands; the
+// message names the first few and the data holds the first maxFindings.
 func invalid(message string, list finding.List) error {
-	return codeError(controlapi.CodeInvalid, message+": "+list.Err().Error(), list)
+	total := len(list.Findings)
+	list.Findings = list.Findings[:min(total, maxFindings)]
+	shown := finding.List{Findings: list.Findings[:min(total, shownFindings)]}
+	message = fmt.Sprintf("%s (%d findings): %s", message, total, (&finding.ListError{List: shown}).Error())
+	return codeError(controlapi.CodeInvalid, message, list)
 }
 
 func codeError(code int64, message string, data any) error {
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,14 +76,7 @@
 	for _, id := range ids {
 		files, err := logstore.OpenFolder(f.folders[id])
 		require.NoError(f.t, err)
-		log, err := telemetry.NewLogger(io.Discard, "test", id, "info")
-		require.NoError(f.t, err)
-		options := control.Options{
-			VM: id, Listen: f.peers[id], Peers: f.peers, Files: files, Log: log, Registry: metrics.NewRegistry(),
-			ElectionTimeout: 300 * time.Millisecond, Heartbeat: 30 * time.Millisecond, RequestTimeout: patience,
-		}
-		f.change(&options)
-		server, err := control.New(options)
+		server, err := control.New(f.options(id, files))
 		require.NoError(f.t, err)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
@@ -96,6 +90,40 @@
 	}
 }
 
+func (f *fleet) options(id vm.ID, files logstore.FileSystem) control.Options {
+	log, err := telemetry.NewLogger(io.Discard, "test", id, "info")
+	require.NoError(f.t, err)
+	options := control.Options{
+		VM: id, Listen: f.peers[id], Peers: f.peers, Files: files, Log: log, Registry: metrics.NewRegistry(),
+		ElectionTimeout: 300 * time.Millisecond, Heartbeat: 30 * time.Millisecond, RequestTimeout: patience,
+	}
+	f.change(&options)
+	return options
+}
+
+// failingFolder fails every sync once fail is set.
+type failingFolder struct {
+	logstore.FileSystem
+	fail atomic.Bool
+}
+
+func (f *failingFolder) Append(name string) (logstore.File, error) {
+	file, err := f.FileSystem.Append(name)
+	return &failingFile{File: file, folder: f}, err
+}
+
+type failingFile struct {
+	logstore.File
+	folder *failingFolder
+}
+
+func (f *failingFile) Sync() error {
+	if f.folder.fail.Load() {
+		return errors.New("sync failed")
+	}
+	return f.File.Sync()
+}
+
 // leader waits until a running replica knows a running leader.
 func (f *fleet) leader() vm.ID {
 	f.t.Helper()
--- a/internal/intent/change.go
+++ b/internal/intent/change.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 
 	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/vm"
@@ -14,6 +15,9 @@
 	maxOperations = 4096
 	// maxHistory bounds the history rows kept in the state.
 	maxHistory = 4096
+	// maxReason bounds the reason of a rejection, which is kept with its
+	// operation id; an inventory can have thousands of findings.
+	maxReason = 2048
 )
 
 // Kind says what a change does.
@@ -133,7 +137,7 @@
 	}
 	summary, err := s.modify(c)
 	if err != nil {
-		return Result{Outcome: Rejected, Revision: s.Revision, Reason: err.Error()}
+		return Result{Outcome: Rejected, Revision: s.Revision, Reason: bounded(err.Error())}
 	}
 	s.Revision++
 	s.History = appendBounded(s.History, HistoryRow{
@@ -142,6 +146,13 @@
 	return Result{Outcome: Accepted, Revision: s.Revision}
 }
 
+func bounded(reason string) string {
+	if len(reason) <= maxReason {
+		return reason
+	}
+	return strings.ToValidUTF8(reason[:maxReason], "") + " …"
+}
+
 func (s *State) conflict(base uint64) Result {
 	r := Result{Outcome: Conflict, Revision: s.Revision, Reason: fmt.Sprintf("base revision is %d, current revision is %d", base, s.Revision)}
 	if n := len(s.History); n > 0 && base < s.Revision {
