ctl: say whether a failed change may have been accepted

Cause: after a failed read of the base an operator could not tell whether anything was changed, and a leader that is deposed while it commits may answer "not the leader" for a change that is still accepted. Change: errors of changes state either that the command changed nothing or how to repeat it with the same operation id; "not the leader" counts as sent.

--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -73,10 +73,15 @@
 	Change       string         `json:"change"`
 }
 
-// currentState reads a state that a quorum has confirmed.
+// currentState reads the state, confirmed by a quorum, on which a change is
+// based.
 func (s *session) currentState(ctx context.Context) (*intent.State, error) {
 	var state intent.State
 	err := s.client.call(ctx, controlapi.IntentGet, controlapi.GetRequest{Linearizable: true}, &state)
+	var unavailable *UnavailableError
+	if errors.As(err, &unavailable) {
+		unavailable.Unchanged = true
+	}
 	return &state, err
 }
 
@@ -92,16 +97,30 @@
 	c.BaseRevision = base
 	var result intent.Result
 	err = s.client.call(ctx, controlapi.IntentPropose, controlapi.ProposeRequest{Change: c, DryRun: o.dryRun}, &result)
-	var unavailable *UnavailableError
-	if errors.As(err, &unavailable) && unavailable.Sent && !o.dryRun {
-		unavailable.Repeat = fmt.Sprintf("--operation-id %s --base-revision %d", c.OperationID, base)
-	}
 	if err != nil {
-		return err
+		return outcomeOf(err, o, c)
 	}
 	return s.showResult(result, o, c)
 }
 
+// outcomeOf adds to the error of a proposal whether the change may have been
+// accepted, and how to find out.
+func outcomeOf(err error, o changeOptions, c intent.Change) error {
+	repeat := fmt.Sprintf("--operation-id %s --base-revision %d", c.OperationID, c.BaseRevision)
+	var unavailable *UnavailableError
+	if errors.As(err, &unavailable) {
+		unavailable.Unchanged = o.dryRun || !unavailable.Sent
+		if !unavailable.Unchanged {
+			unavailable.Repeat = repeat
+		}
+		return err
+	}
+	if code, _ := exitCode(err); code == ExitFailure && !o.dryRun {
+		return fmt.Errorf("%w\nthe outcome is unknown; repeat the command with %s to get the first answer", err, repeat)
+	}
+	return err
+}
+
 func (s *session) baseRevision(ctx context.Context, o changeOptions, read *intent.State) (uint64, error) {
 	if o.base != nil {
 		return *o.base, nil
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -84,6 +84,7 @@
 		if final := definitive(method, err); final != nil {
 			return final
 		}
+		failed.Sent = failed.Sent || sent
 		if failed.Last == nil || ctx.Err() == nil {
 			// An attempt cut off by the deadline says less than the one before.
 			failed.Last = err
@@ -95,8 +96,6 @@
 			if c.leader != "" && redirects <= maxRedirects {
 				continue
 			}
-		} else if sent {
-			failed.Sent = true
 		}
 		c.leader = ""
 		c.target++
@@ -147,7 +146,8 @@
 		delete(c.conns, address)
 	}
 	if answer != nil && answer.Code == controlapi.CodeNotLeader {
-		return false, movedTo(answer, c.config)
+		// A leader that is deposed while it commits may answer like this, too.
+		return true, movedTo(answer, c.config)
 	}
 	return true, err
 }
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -64,6 +64,8 @@
 	Sent bool
 	// Repeat is how to get the outcome of a change that was sent.
 	Repeat string
+	// Unchanged is set for a change that was not sent.
+	Unchanged bool
 }
 
 func (e *UnavailableError) Error() string {
@@ -71,6 +73,9 @@
 	if e.Repeat != "" {
 		text += "\nthe outcome is unknown; repeat the command with " + e.Repeat + " to get the first answer"
 	}
+	if e.Unchanged {
+		text += "\nthis command changed nothing"
+	}
 	return text
 }
 
