--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GOFUMPT := go run mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
 PROGRAMS := $(notdir $(wildcard cmd/*))
 
-.PHONY: build test fmt lint generate e2e
+.PHONY: build test fmt lint generate e2e slopes
 
 build: ## Builds all programs into bin/.
 	go build -o bin/ ./cmd/...
@@ -25,3 +25,6 @@
 
 e2e: ## Runs the path over TUN devices; needs root.
 	go test -race -tags e2e -count=1 -timeout 5m ./internal/fleet/...
+
+slopes: ## Measures how state, messages and processor time grow with the fleet.
+	go run ./cmd/bramley-dev slopes
