intent, ctl: reject a reused operation id; verify the role of servers

Cause: an operation id that was used for another change got the answer of the first one, so that a change looked accepted without being made. A member under a control address could answer operators. Change: an operation keeps a hash of its content, and another content is rejected with the first outcome; records without a hash are answered as before. bramleyctl requires the role control from control addresses, and the role of the member from members. Control replicas in the list of members are not asked at their gossip address. Conclusion: both cases are refused with a reason.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -52,7 +52,7 @@
 
 func newClient(addresses []netip.AddrPort, config *tls.Config, rng *rand.Rand) *client {
 	c := &client{
-		config: config, rng: rng, now: time.Now, pause: pause, conns: map[string]*rpc.Conn{},
+		config: rpc.RequireRole(config, rpc.RoleControl), rng: rng, now: time.Now, pause: pause, conns: map[string]*rpc.Conn{},
 		policy: &retry.Policy{Backoff: retry.Backoff{Base: backoffBase, Max: backoffMax}, MinAttempt: minAttempt},
 	}
 	c.setBudget(maxRetries)
--- a/internal/ctl/observe_test.go
+++ b/internal/ctl/observe_test.go
@@ -111,6 +111,7 @@
 	for _, args := range []string{
 		"keys init " + dir,
 		"keys issue " + dir + " --role control --vm control-1 --address 192.0.2.21 --address 127.0.0.1",
+		"keys issue " + dir + " --role agent --vm orders-1 --address 127.0.0.1",
 		"keys issue " + dir + " --role operator --vm iva",
 		"keys rotate-frame " + dir,
 		"keys rotate-frame --activate " + dir,
@@ -132,6 +133,13 @@
 	require.Equal(t, ExitOK, o.code, o.stderr)
 	require.Equal(t, ExitUnavailable, run(t, "--control", f.address, "history", "--timeout", "2s").code)
 	require.Equal(t, ExitUsage, run(t, "--control", f.address, "--keys", dir, "history").code)
+	// An agent under a control address must not get changes or answer for one.
+	server, _, err = keys.LoadTLS(filepath.Join(dir, "vm/orders-1"))
+	require.NoError(t, err)
+	impostor := startFake(t, &cluster{state: &intent.State{}}, "orders-1", server)
+	o = run(t, "--control", impostor.address, "--keys", filepath.Join(dir, "vm/iva"), "history")
+	require.Equal(t, ExitUnavailable, o.code)
+	require.Contains(t, o.stderr, `has role "agent", want one of [control]`)
 }
 
 // Guards against example scripts that do not run or that leave a service with
--- a/internal/ctl/processes.go
+++ b/internal/ctl/processes.go
@@ -44,8 +44,22 @@
 	return fmt.Sprintf("no answer from %s (%s): %s", u.Process, u.Address, u.Reason)
 }
 
-// processes returns the control replicas and all members. The TCP address for
-// control of a member is the address that it announces for frames over UDP.
+// certificateRole returns the role that the certificate of the process must
+// have.
+func (p *process) certificateRole() rpc.Role {
+	switch p.role {
+	case vm.RoleControl:
+		return rpc.RoleControl
+	case vm.RoleBalancer:
+		return rpc.RoleBalancer
+	}
+	return rpc.RoleAgent
+}
+
+// processes returns the control replicas and all balancers and upstreams. The
+// TCP address of a member is the one that it announces for frames over UDP;
+// control replicas announce that of their gossip, and are asked at the control
+// addresses.
 func (s *session) processes(ctx context.Context) (processList, error) {
 	var list processList
 	known := map[string]bool{}
@@ -59,7 +73,7 @@
 	}
 	slices.SortFunc(members, func(a, b view.Member) int { return strings.Compare(string(a.VM), string(b.VM)) })
 	for _, m := range members {
-		if address := m.Address.String(); !known[address] {
+		if address := m.Address.String(); m.Role != vm.RoleControl && !known[address] {
 			known[address] = true
 			list = append(list, process{name: string(m.VM), address: address, service: string(m.Service), role: m.Role})
 		}
@@ -105,7 +119,7 @@
 func askOne[T any](ctx context.Context, s *session, p process, method string, params any) (*T, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	conn, err := rpc.Dial(ctx, p.address, s.config, rpc.Methods{}.Handler())
+	conn, err := rpc.Dial(ctx, p.address, rpc.RequireRole(s.config, p.certificateRole()), rpc.Methods{}.Handler())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -15,7 +15,7 @@
 func (a *app) statusCommand() *cli.Command {
 	return &cli.Command{
 		Name: "status", Usage: "show services, VMs and every process",
-		Flags:  []cli.Flag{textFlag("service", "", "show the upstreams of one service only")},
+		Flags:  []cli.Flag{&cli.StringFlag{Name: "service", Usage: "show the upstreams of one service only"}},
 		Action: a.online(showStatus),
 	}
 }
--- a/internal/ctl/watch.go
+++ b/internal/ctl/watch.go
@@ -110,7 +110,7 @@
 func (w *watcher) follow(ctx context.Context, address string) (done bool, err error) {
 	queue := &updateQueue{wake: make(chan struct{}, 1)}
 	methods := rpc.Methods{controlapi.IntentUpdated: queue.add}
-	conn, err := rpc.Dial(ctx, address, w.session.config, methods.SerialHandler())
+	conn, err := rpc.Dial(ctx, address, w.session.client.config, methods.SerialHandler())
 	if err != nil {
 		return false, err
 	}
--- a/internal/intent/change.go
+++ b/internal/intent/change.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/vm"
 )
@@ -79,14 +82,18 @@
 
 // Apply returns the state after a change and the answer to it. The given
 // state is not modified. A known operation id returns its first answer and
-// the same state. A change without an operation id is not remembered.
+// the same state; if the id belongs to another change, it is rejected. A change without an operation id is not remembered.
 func Apply(s *State, c Change) (*State, Result) {
-	if r, ok := s.firstAnswer(c.OperationID); ok {
-		return s, r
+	content := c.content()
+	if op, ok := s.firstOperation(c.OperationID); ok {
+		if op.Content != 0 && op.Content != content {
+			return s, Result{Outcome: Rejected, Revision: s.Revision, Reason: otherChange(op)}
+		}
+		return s, op.Result
 	}
 	next := s.Clone()
 	result := next.decide(c)
-	next.remember(Operation{ID: c.OperationID, Result: result})
+	next.remember(Operation{ID: c.OperationID, Content: content, Result: result})
 	return next, result
 }
 
@@ -115,16 +122,31 @@
 	return fmt.Sprintf("change on base revision %d cannot follow revision %d", e.Base, e.Revision)
 }
 
-func (s *State) firstAnswer(id string) (Result, bool) {
+func (s *State) firstOperation(id string) (Operation, bool) {
 	if id == "" {
-		return Result{}, false
+		return Operation{}, false
 	}
-	for _, op := range s.Operations {
-		if op.ID == id {
-			return op.Result, true
-		}
+	i := slices.IndexFunc(s.Operations, func(op Operation) bool { return op.ID == id })
+	if i < 0 {
+		return Operation{}, false
+	}
+	return s.Operations[i], true
+}
+
+func otherChange(op Operation) string {
+	return fmt.Sprintf("operation id %q belongs to another change, which was %s at revision %d", op.ID, op.Result.Outcome, op.Result.Revision)
+}
+
+// content returns a hash of what the change does, without who asked for it, on
+// which base and under which id.
+func (c *Change) content() uint64 {
+	plain := *c
+	plain.OperationID, plain.Operator, plain.BaseRevision = "", "", 0
+	text, err := json.Marshal(plain)
+	if err != nil {
+		return 0
 	}
-	return Result{}, false
+	return xxhash.Sum64(text)
 }
 
 func (s *State) decide(c Change) Result {
--- a/internal/intent/state.go
+++ b/internal/intent/state.go
@@ -77,8 +77,12 @@
 
 // Operation is the remembered first answer to an operation id.
 type Operation struct {
-	ID     string `json:"id"`
-	Result Result `json:"result"`
+	ID string `json:"id"`
+	// Content identifies what the change does, so that an id that is used for
+	// another change does not get the answer of the first one. It is zero in
+	// records of earlier versions.
+	Content uint64 `json:"content,omitempty"`
+	Result  Result `json:"result"`
 }
 
 // HistoryRow says which operation made a revision.
--- a/internal/intent/validate_test.go
+++ b/internal/intent/validate_test.go
@@ -121,3 +121,34 @@
 		})
 	}
 }
+
+// Guards against a reused operation id that gets the answer of another change,
+// and against a retry that does not get its own first answer.
+func TestOperationID(t *testing.T) {
+	leave := func(id vm.ID, base uint64, operator string) Change {
+		return Change{OperationID: "op", Operator: operator, Kind: KindLeaving, BaseRevision: base, Leaving: &LeavingRule{VM: id, Leaving: true}}
+	}
+	s := base(t)
+	first, answer := Apply(s, leave("a", s.Revision, "iva"))
+	require.Equal(t, Accepted, answer.Outcome)
+	for name, c := range map[string]struct {
+		change Change
+		want   Outcome
+	}{
+		"retry":                       {leave("a", s.Revision, "iva"), Accepted},
+		"retry by another operator":   {leave("a", s.Revision, "nik"), Accepted},
+		"retry on the later revision": {leave("a", first.Revision, "iva"), Accepted},
+		"another change":              {leave("b", first.Revision, "iva"), Rejected},
+	} {
+		after, result := Apply(first, c.change)
+		require.Same(t, first, after, name)
+		require.Equal(t, c.want, result.Outcome, name)
+		if c.want == Accepted {
+			require.Equal(t, answer, result, name)
+		}
+	}
+	old := first.Clone()
+	old.Operations[len(old.Operations)-1].Content = 0
+	_, result := Apply(old, leave("b", first.Revision, "iva"))
+	require.Equal(t, answer, result, "record of an earlier version")
+}
--- a/internal/rpc/peer.go
+++ b/internal/rpc/peer.go
@@ -70,8 +70,12 @@
 }
 
 // RequireRole returns a copy of a TLS configuration that also rejects verified
-// peers of other roles during the handshake.
+// peers of other roles during the handshake. It returns nil, which stands for
+// plain TCP, for nil.
 func RequireRole(config *tls.Config, roles ...Role) *tls.Config {
+	if config == nil {
+		return nil
+	}
 	c := config.Clone()
 	c.VerifyConnection = func(state tls.ConnectionState) error {
 		p, ok := verifiedPeer(state)
