--- a/internal/membership/fleet/fleet.go
+++ b/internal/membership/fleet/fleet.go
@@ -46,7 +46,7 @@
 	Handled    int64
 	HandleTime time.Duration
 
-	network   *memlink.Network
+	network   *memlink.Network[netip.AddrPort, []byte]
 	rng       *rand.Rand
 	seeds     []netip.AddrPort
 	byAddress map[netip.AddrPort]*Member
@@ -68,7 +68,7 @@
 		Now: Epoch, Quality: Good, Between: map[[2]zone.ID]int64{},
 		rng: rand.New(rand.NewPCG(seed, 1)), byAddress: map[netip.AddrPort]*Member{},
 	}
-	f.network = memlink.New(rand.New(rand.NewPCG(seed, 2)), func(from, to netip.AddrPort) memlink.Quality {
+	f.network = memlink.New[netip.AddrPort, []byte](rand.New(rand.NewPCG(seed, 2)), func(from, to netip.AddrPort) memlink.Quality {
 		a, b := f.byAddress[from], f.byAddress[to]
 		if a == nil || b == nil {
 			return memlink.Quality{Down: true}
@@ -138,7 +138,7 @@
 		if to := f.byAddress[s.To]; to != nil && to.Zone != m.Zone {
 			f.Between[[2]zone.ID{m.Zone, to.Zone}] += size
 		}
-		f.network.Send(f.Now, m.Address, s.To, s.Body)
+		f.network.Send(f.Now, m.Address, s.To, s.Body, len(s.Body)+frameOverhead)
 	}
 }
 
@@ -177,7 +177,7 @@
 	}
 }
 
-func (f *Fleet) deliver(p memlink.Packet) {
+func (f *Fleet) deliver(p memlink.Packet[netip.AddrPort, []byte]) {
 	to := f.byAddress[p.To]
 	if to == nil || to.Stopped {
 		return
--- a/internal/slopes/command.go
+++ b/internal/slopes/command.go
@@ -21,6 +21,7 @@
 		{"view", measureView},
 		{"ranking", measureRanking},
 		{"frame", measureFrames},
+		{"fanout", measureFanout},
 		{"membership", measureMembership},
 	}
 }
--- a/internal/slopes/view.go
+++ b/internal/slopes/view.go
@@ -55,8 +55,15 @@
 	return after - before
 }
 
-// designState is an inventory of the size that the design states.
+// designState is a state with the inventory of the size of the design.
 func designState() *intent.State {
+	state, _ := intent.Apply(&intent.State{}, intent.Change{
+		OperationID: "import", Kind: intent.KindInventory, Inventory: designInventory(),
+	})
+	return state
+}
+
+func designInventory() *intent.Inventory {
 	inventory := &intent.Inventory{}
 	for i := range designServices {
 		inventory.Services = append(inventory.Services, intent.ServiceEntry{
@@ -69,8 +76,7 @@
 	for i := range designBalancers + designUpstreams {
 		inventory.Machines = append(inventory.Machines, machine(i))
 	}
-	state, _ := intent.Apply(&intent.State{}, intent.Change{OperationID: "import", Kind: intent.KindInventory, Inventory: inventory})
-	return state
+	return inventory
 }
 
 const (
