--- a/internal/membership/delegate.go
+++ b/internal/membership/delegate.go
@@ -127,6 +127,10 @@
 		if z == n.self.zone {
 			continue
 		}
+		if len(z.live) == 0 {
+			// The lease of an empty zone starts with its first member.
+			z.stampAt = now
+		}
 		if !z.lost && len(z.live) > 0 && now.Sub(z.stampAt) > Lease {
 			z.lost, z.advances = true, 0
 			n.changes++
--- a/internal/membership/failure_test.go
+++ b/internal/membership/failure_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"bramleyhold.example/bramleyhold/internal/membership"
@@ -221,3 +222,28 @@
 		node.Tick(fleet.Epoch)
 	})
 }
+
+// Guards against a lying observer: a helper that denies having reached anybody
+// must not remove a member, even on links that lose messages.
+func TestLyingHelperRemovesNobody(t *testing.T) {
+	f := build(t, 12, 20, 1)
+	liar := f.Members[5]
+	denied := 0
+	f.Tamper = func(from, _ *fleet.Member, body []byte) []byte {
+		var m map[int]any
+		require.NoError(t, cbor.Unmarshal(body, &m))
+		const kindField, targetField, ack, nack = 1, 4, uint64(2), uint64(4)
+		if from != liar || m[kindField] != ack || m[targetField] == nil {
+			return body
+		}
+		denied++
+		m[kindField] = nack
+		forged, err := cbor.Marshal(m)
+		require.NoError(t, err)
+		return forged
+	}
+	f.Quality = func(_, _ *fleet.Member) memlink.Quality { return memlink.Quality{Delay: link, Loss: 0.05} }
+	f.Run(3 * time.Minute)
+	require.Positive(t, denied)
+	require.Zero(t, count(f, membership.Failed))
+}
--- a/internal/membership/fleet/fleet.go
+++ b/internal/membership/fleet/fleet.go
@@ -39,6 +39,8 @@
 	Members []*Member
 	// Quality decides on each message. It may be replaced at any time.
 	Quality func(from, to *Member) memlink.Quality
+	// Tamper, if set, replaces the body of each message.
+	Tamper func(from, to *Member, body []byte) []byte
 	// Between counts the bytes between zones, by sender and receiver zone.
 	Between map[[2]zone.ID]int64
 
@@ -138,6 +140,9 @@
 		if to := f.byAddress[s.To]; to != nil && to.Zone != m.Zone {
 			f.Between[[2]zone.ID{m.Zone, to.Zone}] += size
 		}
+		if f.Tamper != nil {
+			s.Body = f.Tamper(m, f.byAddress[s.To], s.Body)
+		}
 		f.network.Send(f.Now, m.Address, s.To, s.Body, len(s.Body)+frameOverhead)
 	}
 }
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -73,7 +73,8 @@
 
 // Members returns all known members, also failed ones and those that have
 // left, in the order of their VM ids. The status is what the observers agree
-// on.
+// on. The list is built on each call, which takes milliseconds at 6,600
+// members: call it at most a few times per second when Changes has moved.
 func (n *Node) Members() []view.Member {
 	members := make([]view.Member, 0, len(n.records))
 	for _, r := range n.records {
--- a/internal/slopes/membership.go
+++ b/internal/slopes/membership.go
@@ -8,6 +8,8 @@
 )
 
 const (
+	linkDelay   = 5 * time.Millisecond
+	changeTime  = 10 * time.Second
 	settleTime  = 60 * time.Second
 	idleTime    = 60 * time.Second
 	patience    = 3 * time.Minute
@@ -27,7 +29,7 @@
 			return err
 		}
 	}
-	return nil
+	return measureFailures(p)
 }
 
 func measureFleet(p *printer, members, zones int) error {
@@ -48,7 +50,9 @@
 	figures = append(figures,
 		figure{"membership.idle.messages_handled", float64(f.Handled) / idleTime.Seconds() / float64(members), "1/s per node"},
 		figure{"membership.idle.handle", handle, "ns per message"})
+	idle := traffic(f, "", idleTime)[0].value
 	figures = append(figures, changes(f)...)
+	figures = append(figures, changeCost(f, idle))
 	figures = append(figures, figure{"membership.body_max", float64(largestBody(f)), "B"})
 	for _, x := range figures {
 		if err := p.add(x.name, members, x.value, x.unit); err != nil {
@@ -100,6 +104,19 @@
 	return append(figures, figure{"membership.crash_to_failed", f.Now.Sub(start).Seconds(), "s"})
 }
 
+// changeCost returns the bytes beyond idle that one change costs each node.
+func changeCost(f *fleet.Fleet, idle float64) figure {
+	f.Run(settleTime)
+	f.ResetCounters()
+	subject := f.Members[0]
+	leaving := subject.Node.Self()
+	leaving.Status = view.Leaving
+	f.Do(subject, subject.Node.Announce(f.Now, leaving))
+	f.Run(changeTime)
+	sent := traffic(f, "", changeTime)[0].value
+	return figure{"membership.change_cost", (sent - idle) * changeTime.Seconds(), "B per node and change"}
+}
+
 func largestBody(f *fleet.Fleet) int {
 	largest := 0
 	for _, m := range f.Members {
