agent: prove claims, drain and the flow table; close two races

Cause: the concurrency test found a race: an admitted flow was read for its registration after other packets could change it, and a late packet of the upstream could advance a flow that had its alias but was not yet in the table. The claim test found that a copy of an opening that was denied for another holder claimed again without end, because a placed opening did not look at the registration that the denial had left.

Change: the record is taken before the flow is installed; replies look the flow up in its shard; placed openings that need a claim follow a registration first.

--- a/internal/agent/claiming.go
+++ b/internal/agent/claiming.go
@@ -111,6 +111,7 @@
 func (c *Core) runClaimed(now time.Time, p *pendingClaim, out *Actions) {
 	f := p.flow
 	f.lastSeen = now.UnixNano()
+	record := f.record(c.cfg.Incarnation)
 	if !c.add(f) {
 		c.abandon(f)
 		out.add(Action{Kind: Discard, Flow: f.key, Ticket: p.ticket, Reason: OutcomeUnknown})
@@ -118,8 +119,8 @@
 	}
 	out.add(Action{Kind: Release, Flow: f.key, Ticket: p.ticket})
 	h := frame.Header{Origin: p.origin.member, Epoch: p.origin.epoch}
-	a := arrival{now: now, nanos: f.lastSeen, svc: c.service(), h: &h, key: f.key, hash: f.hash}
-	c.announceFlow(&a, f, out)
+	a := arrival{now: now, nanos: now.UnixNano(), svc: c.service(), h: &h, key: f.key, hash: f.hash}
+	c.announceFlow(&a, record, out)
 }
 
 // tickClaims repeats claims that were not answered and gives up those that
--- a/internal/agent/exchange_test.go
+++ b/internal/agent/exchange_test.go
@@ -39,7 +39,10 @@
 	// answers is false while upstreams stay silent.
 	answers bool
 
+	// executed counts the deliveries of each payload, ranAt the upstreams
+	// that got a payload of a flow.
 	executed map[string]int
+	ranAt    map[flow.Key]map[vm.ID]bool
 	replies  map[flow.Key][]packet.Meta
 	refused  map[flow.Key][]Reason
 	resets   map[flow.Key]int
@@ -95,6 +98,8 @@
 	contract                  service.Contract
 	protocol                  service.Protocol
 	limits                    Limits
+	// fresh leaves out the time in which views and lives settle.
+	fresh bool
 }
 
 func shortContract() service.Contract {
@@ -110,7 +115,7 @@
 	}
 	x := &exchange{
 		t: t, now: time.Unix(1_000_000, 0), answers: true,
-		executed: map[string]int{}, replies: map[flow.Key][]packet.Meta{}, refused: map[flow.Key][]Reason{},
+		executed: map[string]int{}, ranAt: map[flow.Key]map[vm.ID]bool{}, replies: map[flow.Key][]packet.Meta{}, refused: map[flow.Key][]Reason{},
 		resets: map[flow.Key]int{}, drops: map[Reason]int{}, hints: map[flow.Key]vm.ID{},
 	}
 	x.fault = func(*peer.Message) []time.Duration { return []time.Duration{linkDelay} }
@@ -144,7 +149,9 @@
 	}
 	x.spread()
 	x.tickAt = x.now
-	x.run(2 * GracePeriod)
+	if !s.fresh {
+		x.run(2 * GracePeriod)
+	}
 	return x
 }
 
@@ -187,7 +194,7 @@
 // run lets virtual time pass. Nodes tick each 5 ms, and less often in runs of
 // more than 2.5 s.
 func (x *exchange) run(d time.Duration) {
-	step := min(max(d/500, 5*time.Millisecond), time.Second)
+	step := min(max(d/500, 5*time.Millisecond), 20*time.Second)
 	end := x.now.Add(d)
 	for {
 		next := x.tickAt
@@ -297,6 +304,10 @@
 func (x *exchange) deliver(n *testNode, a Action, m packet.Meta) {
 	if m.PayloadBytes > 0 {
 		x.executed[fmt.Sprintf("%s/%d", a.Flow, m.Sequence)]++
+		if x.ranAt[a.Flow] == nil {
+			x.ranAt[a.Flow] = map[vm.ID]bool{}
+		}
+		x.ranAt[a.Flow][n.id] = true
 	}
 	if !x.answers {
 		return
@@ -357,7 +368,7 @@
 	}
 	if m.Opening() && m.Protocol == packet.ProtocolTCP {
 		target = svc.Placer(hash)
-	} else if i := svc.Index(x.hints[c.key]); i >= 0 {
+	} else if i := svc.Index(x.hints[c.key]); i >= 0 && svc.Members[i].Reachable() {
 		target = i
 	}
 	if target >= 0 {
--- a/internal/agent/flows.go
+++ b/internal/agent/flows.go
@@ -158,7 +158,8 @@
 	s := c.flows.shard(f.hash)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if f.marks.has(removed) {
+	if s.flows[f.hash] != f {
+		// The flow has ended, or is not yet installed.
 		return false
 	}
 	c.advanceUpstream(s, f, m, now.UnixNano())
--- a/internal/agent/opening.go
+++ b/internal/agent/opening.go
@@ -12,6 +12,10 @@
 func (c *Core) handleOpening(a *arrival, out *Actions) {
 	if a.h.Flags.Has(frame.FlagPlaced) {
 		c.notePlacement(a)
+		if needsClaim(a) && c.forwardRegistered(a, out) {
+			// A copy of an opening that runs at another agent.
+			return
+		}
 		c.admitOrReturn(a, out)
 		return
 	}
@@ -181,6 +185,7 @@
 // install adds an admitted flow to the table and delivers its opening.
 func (c *Core) install(a *arrival, f *flowState, out *Actions) Reason {
 	f.trackCaller(a.m)
+	record := f.record(c.cfg.Incarnation)
 	if !c.add(f) {
 		c.freeSlot(f)
 		c.aliases.release(f)
@@ -190,7 +195,7 @@
 		return FlowLimit
 	}
 	out.add(Action{Kind: Deliver, Flow: a.key, Alias: f.alias, Upstream: c.cfg.Upstream})
-	c.announceFlow(a, f, out)
+	c.announceFlow(a, record, out)
 	return ""
 }
 
--- a/internal/agent/registering.go
+++ b/internal/agent/registering.go
@@ -123,10 +123,9 @@
 }
 
 // announceFlow tells the peers and the balancer about a flow that was admitted.
-func (c *Core) announceFlow(a *arrival, f *flowState, out *Actions) {
+func (c *Core) announceFlow(a *arrival, record peer.FlowRecord, out *Actions) {
 	c.observed.openings.Add(1)
 	c.hintOrigin(a.h, a.key, c.cfg.VM, c.cfg.Incarnation, out)
-	record := f.record(c.cfg.Incarnation)
 	k := c.keepers(a.svc, a.hash)
 	for _, member := range k.members[:k.count] {
 		c.sendRegister(a.svc, member, []peer.FlowRecord{record}, out)
