measure: run the decision code on virtual time

Adds internal/measure with the command bramley-dev measure: policies bramley, bramley-home, hash, conntrack and oracle, and the scenarios steady, upstream-drain, balancer-loss, balancer-restart, balancer-join, agent-restart, uneven-updates, rule-change, upstream-crash and upstream-replace. A scenario that is not built is refused. view.PlaceAtHome selects the variant bramley-home.

--- /dev/null
+++ b/internal/measure/command.go
@@ -0,0 +1,105 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Command returns the command "measure".
+func Command() *cli.Command {
+	d := DefaultOptions()
+	return &cli.Command{
+		Name:  "measure",
+		Usage: "run the decision code on virtual time and report broken invariants",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "scenario", Value: d.Scenario, Usage: "what happens during the run"},
+			&cli.StringFlag{Name: "policy", Value: string(d.Policy), Usage: "bramley, bramley-home, hash, conntrack or oracle"},
+			&cli.StringFlag{Name: "deployment", Usage: "kamnik or rennes; sets links, services and slots"},
+			&cli.Uint64Flag{Name: "seed", Value: d.Seed, Usage: "seed of all random numbers"},
+			&cli.IntFlag{Name: "upstreams", Value: d.Upstreams, Usage: "upstreams of the main service"},
+			&cli.IntFlag{Name: "slots", Value: d.Slots, Usage: "slots of each upstream"},
+			&cli.Float64Flag{Name: "load", Value: d.Load, Usage: "share of the slots in use on average"},
+			&cli.IntFlag{Name: "balancers", Value: d.Balancers, Usage: "number of balancers"},
+			&cli.IntFlag{Name: "flows", Value: d.Flows, Usage: "openings of the main service"},
+			&cli.DurationFlag{Name: "view-lag", Usage: "greatest extra delay of an update to a node"},
+			&cli.Float64Flag{Name: "loss", Usage: "share of packets lost on each link"},
+			&cli.BoolFlag{Name: "json", Usage: "print one JSON object per run"},
+			&cli.BoolFlag{Name: "all", Usage: "run every scenario and policy for both deployments"},
+		},
+		Action: runCommand,
+	}
+}
+
+func runCommand(_ context.Context, c *cli.Command) error {
+	o := Options{
+		Scenario: c.String("scenario"), Policy: Policy(c.String("policy")), Seed: c.Uint64("seed"),
+		Upstreams: c.Int("upstreams"), Slots: c.Int("slots"), Load: c.Float64("load"), Balancers: c.Int("balancers"),
+		Flows: c.Int("flows"), ViewLag: c.Duration("view-lag"), Loss: c.Float64("loss"), Deployment: bench(),
+	}
+	if name := c.String("deployment"); name != "" {
+		d, err := findDeployment(name)
+		if err != nil {
+			return err
+		}
+		o.Deployment = d
+	}
+	runs := []Options{o}
+	if c.Bool("all") {
+		runs = allRuns(o)
+	}
+	return report(c.Root().Writer, runs, c.Bool("json"))
+}
+
+func findDeployment(name string) (Deployment, error) {
+	for _, d := range Deployments() {
+		if d.Name == name {
+			return d, nil
+		}
+	}
+	return Deployment{}, &OptionError{Option: "deployment", Reason: fmt.Sprintf("%q is not known", name)}
+}
+
+func allRuns(o Options) []Options {
+	var runs []Options
+	for _, d := range Deployments() {
+		for _, scenario := range Scenarios() {
+			for _, policy := range Policies() {
+				o.Deployment, o.Scenario, o.Policy = d, scenario, policy
+				runs = append(runs, o)
+			}
+		}
+	}
+	return runs
+}
+
+func report(out io.Writer, runs []Options, asJSON bool) error {
+	table := tabwriter.NewWriter(out, 0, 8, 1, ' ', tabwriter.AlignRight)
+	const header = "deployment\tscenario\tpolicy\testab\tbroken\tlost\twrongsvc\twrongans\ttwice\trefran\tleave\timbal\topen\trefused\twaitfree\thops\tp99\tB/s\tforce\trevert\t"
+	if !asJSON {
+		_, _ = fmt.Fprintln(table, header)
+	}
+	for _, o := range runs {
+		r, err := Run(o)
+		if err != nil {
+			return err
+		}
+		if asJSON {
+			line, err := json.Marshal(r)
+			if err != nil {
+				return err
+			}
+			_, _ = fmt.Fprintf(out, "%s\n", line)
+			continue
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%d\t%d\t%d\t%.2f\t%d\t%.0f\t%d\t%d\t\n",
+			r.Deployment, r.Scenario, r.Policy, r.EstablishedFlows, r.BrokenFlows, r.LostWithUpstream, r.WrongService,
+			r.WrongAnswer, r.RunTwice, r.RefusedButRan, r.WorkAfterLeave, r.Imbalance, r.Openings, r.OpeningsRefused,
+			r.OpeningsWaitedWhenFree, r.HopsMean, r.HopsP99, r.ControlBytesPerNodeS, r.InForceMsMax, r.Reverted)
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/internal/measure/scenario.go
@@ -0,0 +1,278 @@
+package measure
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"bramleyhold.example/bramleyhold/internal/intent"
+	"bramleyhold.example/bramleyhold/internal/view"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+const (
+	// fabricDetect is how long the fabric sends packets to a lost balancer.
+	fabricDetect = time.Second
+	// quietStop is how long a balancer that was withdrawn keeps forwarding.
+	quietStop = 5 * time.Second
+	// restartGap is how long no agent runs during its restart.
+	restartGap = 300 * time.Millisecond
+	// returnAfter is how long a crashed VM stays away.
+	returnAfter = 8 * time.Second
+	// replaceAfter is how long it takes until a VM returns for another service:
+	// less than the detection time of a loss.
+	replaceAfter = 4 * time.Second
+)
+
+// scenarios schedule what happens during a run.
+var scenarios = map[string]func(*world){
+	"steady":           func(*world) {},
+	"upstream-drain":   upstreamDrain,
+	"balancer-loss":    balancerLoss,
+	"balancer-restart": balancerRestart,
+	"balancer-join":    balancerJoin,
+	"agent-restart":    agentRestart,
+	"uneven-updates":   unevenUpdates,
+	"rule-change":      ruleChange,
+	"upstream-crash":   upstreamCrash,
+	"upstream-replace": upstreamReplace,
+}
+
+// Scenarios returns the names of the scenarios that are built.
+func Scenarios() []string { return slices.Sorted(maps.Keys(scenarios)) }
+
+// at schedules f at a share of the time in which openings arrive.
+func (w *world) at(share float64, f func()) {
+	w.after(w.begin.Sub(w.now)+time.Duration(share*float64(w.duration())), f)
+}
+
+// upstream returns the nth upstream of a service.
+func (w *world) upstream(load, n int) *machine {
+	for _, m := range w.machines {
+		if m.server != nil && m.service == w.loads[load].Name {
+			if n == 0 {
+				return m
+			}
+			n--
+		}
+	}
+	return nil
+}
+
+func (w *world) balancer(n int) *machine {
+	n %= w.opts.Balancers
+	i := slices.IndexFunc(w.machines, func(m *machine) bool { return m.role == vm.RoleBalancer })
+	return w.machines[i+n]
+}
+
+// leave marks a VM as leaving or back.
+func (w *world) leave(m *machine, leaving bool) {
+	w.change(intent.Change{Kind: intent.KindLeaving, Leaving: &intent.LeavingRule{VM: m.id, Leaving: leaving}})
+}
+
+func upstreamDrain(w *world) {
+	w.at(0.2, func() { w.leave(w.upstream(0, 1), true) })
+	w.at(0.5, func() { w.leave(w.upstream(0, 1), false) })
+	w.at(0.55, func() {
+		w.leave(w.upstream(0, 3), true)
+		w.leave(w.upstream(1, 0), true)
+	})
+}
+
+// withdraw takes a balancer out of the fabric.
+func (w *world) withdraw(b *machine) {
+	w.fabric = slices.DeleteFunc(slices.Clone(w.fabric), func(m *machine) bool { return m == b })
+}
+
+// stopBalancer stops a balancer gracefully.
+func (w *world) stopBalancer(b *machine) {
+	if !b.alive || !slices.Contains(w.fabric, b) || len(w.fabric) == 1 {
+		return
+	}
+	w.withdraw(b)
+	w.announce(b, view.Leaving)
+	w.after(quietStop, func() {
+		w.announce(b, view.Left)
+		b.alive = false
+	})
+}
+
+// startBalancer starts a balancer that does not run.
+func (w *world) startBalancer(b *machine) {
+	if b.alive {
+		return
+	}
+	b.incarnation++
+	b.alive = true
+	b.startProcess()
+	b.snapshot()
+	w.announce(b, view.Ready)
+	w.fabric = append(slices.Clone(w.fabric), b)
+}
+
+// loseBalancer kills a balancer.
+func (w *world) loseBalancer(b *machine) {
+	if !b.alive || len(w.fabric) == 1 {
+		return
+	}
+	b.alive = false
+	w.after(fabricDetect, func() { w.withdraw(b) })
+	w.announceLoss(b)
+}
+
+// announceLoss publishes what the observers of a lost process agree on.
+func (w *world) announceLoss(m *machine) {
+	incarnation := m.incarnation
+	observe := func(status view.Status) {
+		if !m.alive && m.incarnation == incarnation {
+			w.announce(m, status)
+		}
+	}
+	w.after(suspectAfter, func() { observe(view.Suspected) })
+	w.after(failAfter, func() { observe(view.Failed) })
+}
+
+func balancerLoss(w *world) {
+	w.at(0.3, func() { w.loseBalancer(w.balancer(0)) })
+	w.at(0.6, func() { w.startBalancer(w.balancer(0)) })
+	w.at(0.8, func() { w.loseBalancer(w.balancer(1)) })
+}
+
+func balancerRestart(w *world) {
+	w.at(0.2, func() { w.restartBalancer(w.balancer(0)) })
+	w.at(0.6, func() {
+		w.restartBalancer(w.balancer(1))
+		w.leave(w.upstream(0, 2), true)
+	})
+}
+
+func (w *world) restartBalancer(b *machine) {
+	w.stopBalancer(b)
+	w.after(quietStop+restartGap, func() { w.startBalancer(b) })
+}
+
+func balancerJoin(w *world) {
+	joining := w.balancer(w.opts.Balancers - 1)
+	w.withdraw(joining)
+	joining.alive = false
+	w.announce(joining, view.Left)
+	w.at(0.4, func() { w.startBalancer(joining) })
+}
+
+// restartAgent replaces the agent process of an upstream. The server beside it
+// keeps running.
+func (w *world) restartAgent(m *machine) {
+	if !m.alive {
+		return
+	}
+	m.alive = false
+	w.after(restartGap, func() {
+		if m.server.up {
+			m.startAgent()
+		}
+	})
+}
+
+func (m *machine) startAgent() {
+	m.incarnation++
+	m.alive = true
+	m.startProcess()
+	m.snapshot()
+	m.w.announce(m, view.Ready)
+}
+
+func agentRestart(w *world) {
+	w.at(0.3, func() { w.restartAgent(w.upstream(0, 1)) })
+	w.at(0.6, func() {
+		w.restartAgent(w.upstream(0, 3))
+		w.restartAgent(w.upstream(1, 0))
+		w.leave(w.upstream(0, 2), true)
+	})
+}
+
+// unevenUpdates makes many changes while nodes learn them up to 5 s apart.
+func unevenUpdates(w *world) {
+	const unevenLag = 5 * time.Second
+	w.opts.ViewLag = max(w.opts.ViewLag, unevenLag)
+	for i := range 4 {
+		w.at(0.1+0.2*float64(i), func() {
+			w.leave(w.upstream(0, i), true)
+			w.restartBalancer(w.balancer(i))
+		})
+		w.at(0.2+0.2*float64(i), func() { w.leave(w.upstream(0, i), false) })
+	}
+}
+
+func ruleChange(w *world) {
+	traffic := func(enabled bool) {
+		w.change(intent.Change{Kind: intent.KindTraffic, Traffic: &intent.TrafficRule{Service: w.loads[1].Name, Enabled: enabled}})
+	}
+	w.at(0.2, func() { traffic(false) })
+	w.at(0.4, func() { traffic(true) })
+	w.at(0.6, func() {
+		changed := w.loads[0].Contract
+		changed.QueueDeadline *= 2
+		w.change(intent.Change{Kind: intent.KindContract, Contract: &intent.ContractRule{Service: w.loads[0].Name, Contract: changed}})
+		w.leave(w.upstream(0, 2), true)
+	})
+}
+
+// crashUpstream loses a VM with its server, agent and flows.
+func (w *world) crashUpstream(m *machine) {
+	if !m.alive {
+		return
+	}
+	m.server.crash()
+	m.alive = false
+	w.announceLoss(m)
+}
+
+// returnUpstream brings a lost VM back without its flows.
+func (w *world) returnUpstream(m *machine) {
+	if m.server.up {
+		return
+	}
+	w.account(w.run(m.service))
+	m.server.up = true
+	m.startAgent()
+}
+
+func upstreamCrash(w *world) {
+	w.at(0.2, func() {
+		m := w.upstream(0, 1)
+		w.crashUpstream(m)
+		w.after(returnAfter, func() { w.returnUpstream(m) })
+	})
+	w.at(0.6, func() {
+		w.crashUpstream(w.upstream(0, 4))
+		w.leave(w.upstream(0, 2), true)
+	})
+}
+
+// upstreamReplace returns a lost VM under the same address for another service.
+func upstreamReplace(w *world) {
+	w.at(0.3, func() { w.replaceUpstream(w.upstream(0, 1), w.loads[1]) })
+	w.at(0.6, func() { w.replaceUpstream(w.upstream(1, 0), w.loads[0]) })
+}
+
+func (w *world) replaceUpstream(m *machine, to *serviceRun) {
+	if !m.alive {
+		return
+	}
+	w.crashUpstream(m)
+	w.after(replaceAfter, func() {
+		inv := intent.Inventory{}
+		for _, s := range w.intent.Services {
+			inv.Services = append(inv.Services, intent.ServiceEntry{Name: s.Name, Endpoint: s.Endpoint})
+		}
+		for _, v := range w.intent.VMs {
+			if v.ID == m.id {
+				v.Service = to.Name
+			}
+			inv.Machines = append(inv.Machines, v.Machine)
+		}
+		w.change(intent.Change{Kind: intent.KindInventory, Inventory: &inv})
+		m.service, m.announced.Service = to.Name, to.Name
+		w.returnUpstream(m)
+	})
+}
--- /dev/null
+++ b/internal/measure/server.go
@@ -0,0 +1,271 @@
+package measure
+
+import (
+	"net/netip"
+	"time"
+
+	"bramleyhold.example/bramleyhold/internal/packet"
+)
+
+const (
+	// thinkTime and serveTime are the means of a long flow's request cycle.
+	thinkTime = 800 * time.Millisecond
+	serveTime = 200 * time.Millisecond
+	// sessionUse is the share of time for which a long flow occupies a slot.
+	sessionUse = 0.2
+	// shortTime and heldTime are the mean service times of a short request and
+	// of the few that hold their slot for long.
+	shortTime = 250 * time.Millisecond
+	heldTime  = 16 * time.Second
+	heldShare = 0.03
+	// lingerTime keeps a closed connection for late retransmissions.
+	lingerTime = 5 * time.Second
+	// synReceivedTime is how long a server keeps a half-open connection.
+	synReceivedTime = 10 * time.Second
+)
+
+// server is the upstream process beside an agent.
+type server struct {
+	m     *machine
+	up    bool
+	conns map[netip.AddrPort]*conn
+	// busy counts occupied slots: connections of a service with short requests,
+	// else requests in execution.
+	busy    int
+	running int
+	waiting []func()
+	// placed counts chosen openings that are under way to this server.
+	placed int
+	// generation tells the lives of a crashed and returned server apart.
+	generation int
+	// freeSince is when the server last went from no free slot to one.
+	freeSince time.Time
+}
+
+type conn struct {
+	call        *call
+	alias       netip.AddrPort
+	isn         uint32
+	established bool
+	closed      bool
+	// next is the request that is executed next, acked the last response whose
+	// receipt the caller confirmed.
+	next, acked uint64
+}
+
+func newServer(m *machine) *server {
+	return &server{m: m, up: true, conns: map[netip.AddrPort]*conn{}, freeSince: m.w.now}
+}
+
+func (s *server) occupy(delta int) {
+	s.m.w.account(s.m.w.run(s.m.service))
+	full := s.full()
+	s.busy += delta
+	s.noteFree(full)
+}
+
+// reserve changes the number of openings under way to this server.
+func (s *server) reserve(delta int) {
+	full := s.full()
+	s.placed += delta
+	s.noteFree(full)
+}
+
+func (s *server) noteFree(wasFull bool) {
+	if wasFull && !s.full() {
+		s.freeSince = s.m.w.now
+		s.m.w.watchWaiting(s.m)
+	}
+}
+
+// full reports whether every slot is occupied or has an opening under way.
+func (s *server) full() bool { return s.busy+s.placed >= s.m.w.slots() }
+
+// receive takes a packet that the agent delivered to the upstream.
+func (s *server) receive(alias netip.AddrPort, p *segment) {
+	if !s.up {
+		return
+	}
+	if p.call.run.Name != s.m.service {
+		s.m.w.result.WrongService++
+		return
+	}
+	c := s.conns[alias]
+	switch {
+	case p.meta.Flags.Has(packet.RST):
+		s.close(c)
+	case p.meta.Opening():
+		s.receiveSYN(c, alias, p)
+	case c == nil || c.call != p.call || (!c.established && p.meta.Ack != c.isn+1):
+		s.reply(alias, segment{meta: packet.Meta{Flags: packet.RST}})
+	default:
+		s.receiveData(c, p)
+	}
+}
+
+func (s *server) receiveSYN(c *conn, alias netip.AddrPort, p *segment) {
+	if c != nil && c.closed && c.call != p.call {
+		c = nil
+	}
+	if c == nil {
+		c = &conn{call: p.call, alias: alias, isn: s.m.w.servers.Uint32(), next: p.call.first}
+		s.conns[alias] = c
+		s.opened(c)
+	}
+	if !c.established && !c.closed {
+		s.reply(alias, segment{meta: packet.Meta{Flags: packet.SYN | packet.ACK, Sequence: c.isn}})
+	}
+}
+
+func (s *server) opened(c *conn) {
+	w := s.m.w
+	c.call.holder, c.call.holderGeneration = s.m, s.generation
+	if p := c.call.placed; p != nil {
+		p.reserve(-1)
+		c.call.placed = nil
+	}
+	if since := s.m.leavingSince; !since.IsZero() && w.now.Sub(since) > stallLimit {
+		w.result.WorkAfterLeave++
+	}
+	if c.call.refused {
+		w.checkRefused(c.call)
+	}
+	if c.call.run.short {
+		s.occupy(1)
+	}
+	generation := s.generation
+	w.after(synReceivedTime, func() {
+		if s.generation == generation && !c.established {
+			s.close(c)
+		}
+	})
+}
+
+func (s *server) receiveData(c *conn, p *segment) {
+	if !c.established {
+		c.established = true
+		c.call.holder, c.call.holderGeneration = s.m, s.generation
+	}
+	c.acked = max(c.acked, p.acked)
+	if p.request != 0 {
+		s.receiveRequest(c, p.request)
+	}
+	if p.meta.Flags.Has(packet.FIN) {
+		s.reply(c.alias, segment{meta: packet.Meta{Flags: packet.FIN | packet.ACK}, acked: c.next - 1})
+		s.close(c)
+	}
+}
+
+func (s *server) receiveRequest(c *conn, number uint64) {
+	if number == c.next && !c.closed {
+		c.next++
+		s.execute(c, number)
+	}
+	s.reply(c.alias, segment{meta: packet.Meta{Flags: packet.ACK}, acked: c.next - 1})
+}
+
+// execute runs a request when a slot is free and answers it.
+func (s *server) execute(c *conn, number uint64) {
+	w := s.m.w
+	w.runs[number]++
+	if w.runs[number] > 1 {
+		w.result.RunTwice++
+	}
+	if c.call.refused {
+		w.result.RefusedButRan++
+	}
+	if c.call.run.short {
+		s.later(c.call.serviceTime(), func() { s.answer(c, number, 0) })
+		return
+	}
+	s.waiting = append(s.waiting, func() {
+		s.later(exponential(c.call.random.Float64(), serveTime), func() {
+			s.running--
+			s.occupy(-1)
+			s.answer(c, number, 0)
+			s.dispatch()
+		})
+	})
+	s.dispatch()
+}
+
+// serviceTime draws the time of a short request.
+func (c *call) serviceTime() time.Duration {
+	mean := shortTime
+	if c.random.Float64() < heldShare {
+		mean = heldTime
+	}
+	return exponential(c.random.Float64(), mean)
+}
+
+// dispatch starts waiting requests while slots are free.
+func (s *server) dispatch() {
+	for len(s.waiting) > 0 && s.running < s.m.w.slots() {
+		next := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		s.running++
+		s.occupy(1)
+		next()
+	}
+}
+
+// later runs f unless the server has crashed meanwhile.
+func (s *server) later(d time.Duration, f func()) {
+	generation := s.generation
+	s.m.w.after(d, func() {
+		if s.generation == generation {
+			f()
+		}
+	})
+}
+
+// answer sends a response until the caller confirms it.
+func (s *server) answer(c *conn, number uint64, attempt int) {
+	if c.closed || c.acked >= number || attempt == dataAttempts {
+		return
+	}
+	if attempt == 0 {
+		c.call.watchAnswer(number)
+	}
+	s.reply(c.alias, segment{meta: packet.Meta{Flags: packet.ACK | packet.PSH, PayloadBytes: 800}, answer: number, acked: number})
+	s.later(dataTimeout<<attempt, func() { s.answer(c, number, attempt+1) })
+}
+
+func (s *server) reply(alias netip.AddrPort, p segment) {
+	m := s.m
+	p.meta.Source, p.meta.Destination, p.meta.Protocol = netip.AddrPortFrom(m.address.Addr(), upstreamPort), alias, packet.ProtocolTCP
+	m.w.after(0, func() {
+		if m.alive && m.holder != nil {
+			m.holder.upstream(&p)
+		}
+	})
+}
+
+// close frees what a connection holds and forgets it later.
+func (s *server) close(c *conn) {
+	if c == nil || c.closed {
+		return
+	}
+	c.closed = true
+	if c.call.run.short {
+		s.occupy(-1)
+	}
+	s.later(lingerTime, func() {
+		if s.conns[c.alias] == c {
+			delete(s.conns, c.alias)
+		}
+	})
+}
+
+// crash loses all connections.
+func (s *server) crash() {
+	s.m.w.account(s.m.w.run(s.m.service))
+	for _, c := range s.conns {
+		if !c.closed && c.call.phase == established {
+			s.m.w.result.LostWithUpstream++
+		}
+	}
+	s.up, s.busy, s.running, s.waiting = false, 0, 0, nil
+	s.conns = map[netip.AddrPort]*conn{}
+	s.generation++
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -76,8 +76,9 @@
 	// Unreachable has a bit for each member that gets no packets.
 	Unreachable uint64
 	// ChangedAt is when the set of members, or a status, last changed here.
-	ChangedAt time.Time
-	placers   []int
+	ChangedAt   time.Time
+	placers     []int
+	placeAtHome bool
 }
 
 // membersPerPlacer bounds the members that one placer serves.
@@ -188,13 +189,7 @@
 // rankPlacers returns the member indexes that place openings.
 func rankPlacers(s *Service) []int {
 	count := (len(s.Members) + membersPerPlacer - 1) / membersPerPlacer
-	skip := s.Unreachable
-	for i := range s.Members {
-		// A starting or suspected member must not be the one that places.
-		if s.Members[i].Status != Ready && s.Members[i].Status != Leaving {
-			skip |= 1 << uint(i)
-		}
-	}
+	skip := s.notPlacing()
 	var placers []int
 	for len(placers) < count {
 		i := ranking.FirstEqual(uint64(s.ID), s.Hashes, skip)
@@ -274,8 +269,32 @@
 	return ranking.FirstEqual(flow, s.Hashes, s.Unreachable|tried)
 }
 
+// PlaceAtHome makes the home of each flow place its opening. It is the variant
+// against which a placer per service is measured, and is to be called before the
+// view is shared.
+func (v *View) PlaceAtHome() {
+	for i := range v.Services {
+		v.Services[i].placeAtHome = true
+	}
+}
+
+// notPlacing has a bit for each member that may not place openings.
+func (s *Service) notPlacing() uint64 {
+	skip := s.Unreachable
+	for i := range s.Members {
+		// A starting or suspected member must not be the one that places.
+		if s.Members[i].Status != Ready && s.Members[i].Status != Leaving {
+			skip |= 1 << uint(i)
+		}
+	}
+	return skip
+}
+
 // Placer returns the member that places the openings of a flow, or -1.
 func (s *Service) Placer(flow uint64) int {
+	if s.placeAtHome {
+		return ranking.FirstEqual(flow, s.Hashes, s.notPlacing())
+	}
 	if len(s.placers) == 0 {
 		return -1
 	}
@@ -283,7 +302,12 @@
 }
 
 // IsPlacer reports whether a member places openings.
-func (s *Service) IsPlacer(member int) bool { return slices.Contains(s.placers, member) }
+func (s *Service) IsPlacer(member int) bool {
+	if s.placeAtHome {
+		return s.notPlacing()&(1<<uint(member)) == 0
+	}
+	return slices.Contains(s.placers, member)
+}
 
 // Tried returns a bit for each member whose hash is in a list of low hash bits.
 func (s *Service) Tried(list []uint32) uint64 {
