--- a/cmd/bramley-agent/main.go
+++ b/cmd/bramley-agent/main.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	return nodecmd.Run(ctx, container, process, common)
+	return nodecmd.Run(ctx, container, process)
 }
 
 // openDevice opens a persistent device, so that the kernel keeps the
--- a/cmd/bramley-balancer/main.go
+++ b/cmd/bramley-balancer/main.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	return nodecmd.Run(ctx, container, process, common)
+	return nodecmd.Run(ctx, container, process)
 }
 
 func openDevice(common *nodecmd.Node, own *balancerSettings) (node.Device, error) {
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"encoding/json"
 	"time"
 
@@ -69,7 +68,7 @@
 // defaultEventLimit bounds the answer to a request without a limit.
 const defaultEventLimit = 100
 
-func (b *base) events(_ context.Context, _ *rpc.Conn, params json.RawMessage) (any, error) {
+func (b *base) events(params json.RawMessage) ([]event.Event, error) {
 	request, err := rpc.Decode[controlapi.EventsRequest](params)
 	if err != nil {
 		return nil, err
@@ -78,7 +77,7 @@
 	if limit <= 0 {
 		limit = defaultEventLimit
 	}
-	var matching []event.Event
+	matching := []event.Event{}
 	for _, e := range b.cfg.Events.List() {
 		if request.Object == "" || request.Object == e.Object {
 			matching = append(matching, e)
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -70,7 +70,7 @@
 		VM: cfg.VM, Service: cfg.Service, Incarnation: cfg.Incarnation,
 		Upstream: cfg.Upstream, Aliases: cfg.Aliases, Hasher: cfg.Hasher, Recover: true, Events: cfg.Events,
 	})
-	common, err := newBase(cfg.Config, view.Starting, a.core.SetView)
+	common, err := newBase(cfg.Config, view.Starting, a.core.SetView, a.operatorMethods())
 	if err != nil {
 		return nil, err
 	}
@@ -232,10 +232,12 @@
 // Health says whether the agent serves its upstream.
 func (a *Agent) Health() telemetry.Health { return a.health(a.stopping.Load()) }
 
-// Methods returns the jsonrpc2 methods for operators.
-func (a *Agent) Methods() rpc.Methods {
+// operatorMethods returns the jsonrpc2 methods for operators.
+func (a *Agent) operatorMethods() rpc.Methods {
 	return rpc.Methods{
-		controlapi.EventsList: a.events,
+		controlapi.EventsList: func(_ context.Context, _ *rpc.Conn, params json.RawMessage) (any, error) {
+			return a.events(params)
+		},
 		controlapi.StatusGet: func(context.Context, *rpc.Conn, json.RawMessage) (any, error) {
 			return a.agentStatus(), nil
 		},
--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -44,7 +44,7 @@
 func NewBalancer(cfg Config, device Device) (*Balancer, error) {
 	cfg.Role = vm.RoleBalancer
 	b := &Balancer{device: device, core: balancer.New(balancer.Config{VM: cfg.VM, Hasher: cfg.Hasher})}
-	common, err := newBase(cfg, view.Ready, b.core.SetView)
+	common, err := newBase(cfg, view.Ready, b.core.SetView, b.operatorMethods())
 	if err != nil {
 		return nil, err
 	}
@@ -264,10 +264,12 @@
 // Health says whether the fabric should send packets here.
 func (b *Balancer) Health() telemetry.Health { return b.health(b.Stopping()) }
 
-// Methods returns the jsonrpc2 methods for operators.
-func (b *Balancer) Methods() rpc.Methods {
+// operatorMethods returns the jsonrpc2 methods for operators.
+func (b *Balancer) operatorMethods() rpc.Methods {
 	return rpc.Methods{
-		controlapi.EventsList: b.events,
+		controlapi.EventsList: func(_ context.Context, _ *rpc.Conn, params json.RawMessage) (any, error) {
+			return b.events(params)
+		},
 		controlapi.StatusGet: func(context.Context, *rpc.Conn, json.RawMessage) (any, error) {
 			return b.status(b.WaitingFor()), nil
 		},
--- a/internal/node/base.go
+++ b/internal/node/base.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"bramleyhold.example/bramleyhold/internal/rpc"
 	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/view"
 )
@@ -20,6 +23,8 @@
 	transport *transport
 	liveness  *liveness
 	feed      *feed
+	admin     *rpc.Server
+	methods   rpc.Methods
 	setView   func(*view.View)
 
 	started time.Time
@@ -32,25 +37,54 @@
 	rebuild  chan struct{}
 }
 
-func newBase(cfg Config, status view.Status, setView func(*view.View)) (*base, error) {
+func newBase(cfg Config, status view.Status, setView func(*view.View), methods rpc.Methods) (*base, error) {
 	cfg.setDefaults()
-	b := &base{cfg: cfg, setView: setView, started: time.Now(), rebuild: make(chan struct{}, 1)}
-	t, err := openTransport(&b.cfg)
-	if err != nil {
-		return nil, fmt.Errorf("frame link: %w", err)
+	b := &base{cfg: cfg, methods: methods, setView: setView, started: time.Now(), rebuild: make(chan struct{}, 1)}
+	if err := b.openAddress(); err != nil {
+		return nil, err
 	}
-	b.cfg.Address = t.link.Address()
-	b.transport = t
+	t := b.transport
 	b.liveness = newLiveness(t, &b.cfg, status, b.requestRebuild)
+	var err error
 	b.feed, err = newFeed(&b.cfg, b.requestRebuild)
 	if err != nil {
-		_ = t.link.Close()
-		return nil, err
+		return nil, errors.Join(err, t.link.Close(), b.admin.Close())
 	}
 	b.buildView()
 	return b, nil
 }
 
+// openAttempts bounds the search for a port that is free for UDP and TCP.
+const openAttempts = 8
+
+// openAddress binds the address for frames over UDP and requests over TCP.
+// Without a configured port both use the same free one.
+func (b *base) openAddress() error {
+	var failures error
+	for range openAttempts {
+		t, err := openTransport(&b.cfg)
+		if err != nil {
+			return fmt.Errorf("frame link: %w", err)
+		}
+		address := t.link.Address()
+		b.admin, err = rpc.Listen(address.String(), b.cfg.ServerTLS, b.methods.Handler(), b.rejected)
+		if err == nil {
+			b.transport, b.cfg.Address = t, address
+			return nil
+		}
+		failures = errors.Join(failures, err, t.link.Close())
+		if b.cfg.Address.Port() != 0 {
+			break
+		}
+	}
+	return failures
+}
+
+func (b *base) rejected(err error) {
+	metrics.GetOrRegisterCounter("admin.rejected", b.cfg.Metrics).Inc(1)
+	b.cfg.Log.WithError(err).Warn("connection of an operator rejected")
+}
+
 func (b *base) requestRebuild() {
 	select {
 	case b.rebuild <- struct{}{}:
@@ -91,6 +125,8 @@
 
 // start runs the common parts in the group until the context ends.
 func (b *base) start(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { return b.admin.Serve(ctx) })
+	group.Go(func() error { <-ctx.Done(); return b.admin.Close() })
 	group.Go(func() error { return b.liveness.run(ctx) })
 	group.Go(func() error { return b.runViews(ctx) })
 	if len(b.cfg.Control) > 0 {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -39,13 +39,17 @@
 	Role        vm.Role
 	Service     service.Name
 	Incarnation vm.Incarnation
-	// Address is where frames and gossip arrive over UDP.
+	// Address is where frames and gossip arrive over UDP, and operators'
+	// requests over TCP.
 	Address netip.AddrPort
 	// Control lists the jsonrpc2 addresses of the control VMs.
 	Control []string
 	// Seeds lists the gossip addresses of the control VMs.
-	Seeds      []netip.AddrPort
+	Seeds []netip.AddrPort
+	// TLS is for connections to control, ServerTLS for those of operators;
+	// both are nil for plain TCP on loopback.
 	TLS        *tls.Config
+	ServerTLS  *tls.Config
 	Keys       *frame.Keys
 	Hasher     flow.Hasher
 	TunnelMTU  int
--- a/internal/nodecmd/settings.go
+++ b/internal/nodecmd/settings.go
@@ -16,7 +16,6 @@
 	Address    netip.AddrPort   `flag:"address" validate:"required"`
 	Control    []string         `flag:"control" validate:"required"`
 	Seeds      []netip.AddrPort `flag:"seeds" validate:"required"`
-	Admin      string           `flag:"admin-address" validate:"omitempty,listen"`
 	Keys       string           `flag:"keys" validate:"required,dir"`
 	TunnelMTU  int              `flag:"tunnel-mtu" validate:"gte=576,lte=8900"`
 	TraceEvery int              `flag:"trace-every" validate:"gte=0"`
@@ -26,10 +25,9 @@
 
 // Register implements settings.Group.
 func (n *Node) Register(s *settings.Set) {
-	settings.Text(s, &n.Address, "address", "", "UDP address of frames and gossip: IP:port")
+	settings.Text(s, &n.Address, "address", "", "address of frames and gossip over UDP and of operators' requests over TCP: IP:port")
 	settings.Strings(s, &n.Control, "control", "", "jsonrpc2 addresses of the control VMs: host:port,…")
 	settings.Add(s, &n.Seeds, "seeds", "", "gossip addresses of the control VMs: IP:port,…", ParseAddresses)
-	settings.String(s, &n.Admin, "admin-address", "", "address of the jsonrpc2 methods for operators")
 	settings.String(s, &n.Keys, "keys", "", "folder with the certificate and the frame keys of this VM")
 	settings.Int(s, &n.TunnelMTU, "tunnel-mtu", fmt.Sprint(node.DefaultTunnelMTU), "largest packet that is sent in a frame, in bytes")
 	settings.Int(s, &n.TraceEvery, "trace-every", "1000", "one of so many openings is traced; 0 traces none")
--- a/internal/nodecmd/wire.go
+++ b/internal/nodecmd/wire.go
@@ -23,7 +23,6 @@
 	"bramleyhold.example/bramleyhold/internal/frame"
 	"bramleyhold.example/bramleyhold/internal/keys"
 	"bramleyhold.example/bramleyhold/internal/node"
-	"bramleyhold.example/bramleyhold/internal/rpc"
 	"bramleyhold.example/bramleyhold/internal/settings"
 	"bramleyhold.example/bramleyhold/internal/telemetry"
 	"bramleyhold.example/bramleyhold/internal/vm"
@@ -74,7 +73,7 @@
 	}
 	return node.Config{
 		VM: p.VM, Zone: p.Zone, Address: n.Address, Control: n.Control, Seeds: n.Seeds,
-		TLS: secrets.Client, Keys: secrets.Frames, Hasher: secrets.Hasher, TunnelMTU: n.TunnelMTU,
+		TLS: secrets.Client, ServerTLS: secrets.Server, Keys: secrets.Frames, Hasher: secrets.Hasher, TunnelMTU: n.TunnelMTU,
 		DataFolder: p.DataFolder, Seed: seed,
 		Incarnation: vm.Incarnation(time.Now().UnixMilli()),
 		Log:         log, Metrics: registry, Events: event.NewBuffer(string(p.VM), eventCapacity),
@@ -96,13 +95,13 @@
 }
 
 // Run opens the addresses of a program and serves until the context ends.
-func Run(ctx context.Context, container *dig.Container, p *settings.Process, n *Node) error {
-	err := container.Invoke(func(log *logrus.Entry, runner Runner, secrets *Secrets, registry metrics.Registry, traces *Traces) error {
-		http, admin, err := listeners(p, n, secrets, registry, log, runner)
+func Run(ctx context.Context, container *dig.Container, p *settings.Process) error {
+	err := container.Invoke(func(log *logrus.Entry, runner Runner, registry metrics.Registry, traces *Traces) error {
+		http, err := telemetry.Listen(p.HTTPAddress, telemetry.Handler(registry, runner.Health))
 		if err != nil {
 			return err
 		}
-		return errors.Join(serve(ctx, log, runner, http, admin), traces.Close(context.WithoutCancel(ctx)))
+		return errors.Join(serve(ctx, log, runner, http), traces.Close(context.WithoutCancel(ctx)))
 	})
 	return dig.RootCause(err)
 }
@@ -145,24 +144,19 @@
 	Drain(ctx context.Context) error
 	WaitingFor() string
 	Health() telemetry.Health
-	Methods() rpc.Methods
 }
 
 // waitingInterval is how often a stopping program says what it waits for.
 const waitingInterval = 5 * time.Second
 
-// serve runs a node with its addresses for health, metrics and operators until
+// serve runs a node with its address for health and metrics until
 // the context ends, then drains it. A second signal ends the program at once.
-func serve(ctx context.Context, log *logrus.Entry, runner Runner, http *telemetry.Server, admin *rpc.Server) error {
+func serve(ctx context.Context, log *logrus.Entry, runner Runner, http *telemetry.Server) error {
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, running := errgroup.WithContext(running)
 	group.Go(func() error { defer cancel(); return runner.Run(running) })
 	group.Go(func() error { return http.Serve(running) })
-	if admin != nil {
-		group.Go(func() error { return admin.Serve(running) })
-		group.Go(func() error { <-running.Done(); return admin.Close() })
-	}
 	log.WithField("http_address", http.Address().String()).Info("started")
 	group.Go(func() error {
 		defer cancel()
@@ -190,14 +184,3 @@
 		}
 	}
 }
-
-// listeners opens the addresses of a program.
-func listeners(p *settings.Process, n *Node, secrets *Secrets, registry metrics.Registry, log *logrus.Entry, runner Runner) (*telemetry.Server, *rpc.Server, error) {
-	http, err := telemetry.Listen(p.HTTPAddress, telemetry.Handler(registry, runner.Health))
-	if err != nil || n.Admin == "" {
-		return http, nil, err
-	}
-	reject := func(err error) { log.WithError(err).Warn("connection rejected") }
-	admin, err := rpc.Listen(n.Admin, secrets.Server, runner.Methods().Handler(), reject)
-	return http, admin, err
-}
