--- a/internal/ctl/observe_test.go
+++ b/internal/ctl/observe_test.go
@@ -136,8 +136,8 @@
 	// An agent under a control address must not get changes or answer for one.
 	server, _, err = keys.LoadTLS(filepath.Join(dir, "vm/orders-1"))
 	require.NoError(t, err)
-	impostor := startFake(t, &cluster{state: &intent.State{}}, "orders-1", server)
-	o = run(t, "--control", impostor.address, "--keys", filepath.Join(dir, "vm/iva"), "history")
+	misplaced := startFake(t, &cluster{state: &intent.State{}}, "orders-1", server)
+	o = run(t, "--control", misplaced.address, "--keys", filepath.Join(dir, "vm/iva"), "history")
 	require.Equal(t, ExitUnavailable, o.code)
 	require.Contains(t, o.stderr, `has role "agent", want one of [control]`)
 }
