--- a/internal/udplink/link.go
+++ b/internal/udplink/link.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"golang.org/x/net/ipv4"
 	"golang.org/x/net/ipv6"
@@ -179,3 +180,6 @@
 	l.addrs.Store(to, a)
 	return a
 }
+
+// SetReadDeadline makes a Receive that waits return at a time.
+func (l *Link) SetReadDeadline(t time.Time) error { return l.conn.SetReadDeadline(t) }
