--- /dev/null
+++ b/internal/control/bench_test.go
@@ -0,0 +1,109 @@
+package control_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bramleyhold.example/bramleyhold/internal/controlapi"
+	"bramleyhold.example/bramleyhold/internal/intent"
+	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/vm"
+	"bramleyhold.example/bramleyhold/internal/zone"
+)
+
+// fullInventory has the size that the design page plans for: 6,000 upstreams
+// behind 890 services and 600 balancers.
+func fullInventory() intent.Change {
+	inv := &intent.Inventory{}
+	address := netip.MustParseAddr("10.128.0.1")
+	for i := range 890 {
+		name := service.Name(fmt.Sprintf("service-%d", i))
+		inv.Services = append(inv.Services, intent.ServiceEntry{Name: name, Endpoint: service.Endpoint{
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 443), Protocol: service.TCP,
+		}})
+	}
+	for i := range 6600 {
+		address = address.Next()
+		m := intent.Machine{ID: vm.ID(fmt.Sprintf("vm-%d", i)), Address: address, Zone: zone.ID{Region: "north", Name: "a"}, Role: vm.RoleBalancer}
+		if i < 6000 {
+			m.Role, m.Service, m.Slots, m.Connections = vm.RoleUpstream, inv.Services[i%890].Name, 7, 2000
+		}
+		inv.Machines = append(inv.Machines, m)
+	}
+	return intent.Change{OperationID: "full", Kind: intent.KindInventory, Inventory: inv}
+}
+
+func rule(i int) intent.Change {
+	c := traffic(fmt.Sprint("p", i), uint64(i+1), i%2 == 0)
+	c.Traffic.Service = "service-1"
+	return c
+}
+
+// BenchmarkPropose measures one accepted rule from an operator at a follower to
+// the answer, at the planned size, with synced disks.
+func BenchmarkPropose(b *testing.B) {
+	for _, replicas := range []int{1, 3, 5} {
+		b.Run(fmt.Sprintf("%d replicas", replicas), func(b *testing.B) {
+			f := newFleet(b, replicas)
+			f.start()
+			require.EqualValues(b, 1, f.operator(fullInventory(), "c1").Revision)
+			conn := f.dial("c1", nil)
+			b.ResetTimer()
+			for i := range b.N {
+				require.Equal(b, intent.Accepted, propose(b, conn, rule(i)).Outcome)
+			}
+		})
+	}
+}
+
+// BenchmarkFanOut measures one accepted rule from the operator to the last of
+// 600 subscribers.
+func BenchmarkFanOut(b *testing.B) {
+	f := newFleet(b, 3)
+	f.start()
+	require.EqualValues(b, 1, f.operator(fullInventory(), "c1").Revision)
+	subscribers := make([]*subscriber, 600)
+	for i := range subscribers {
+		subscribers[i] = &subscriber{}
+		if i > 0 {
+			// They share the state, so that the benchmark does not hold 600 copies.
+			subscribers[i].state = subscribers[0].state
+		}
+		f.subscribe(vm.ID(fmt.Sprintf("c%d", i%3+1)), subscribers[i])
+	}
+	conn := f.dial("c1", nil)
+	b.ResetTimer()
+	for i := range b.N {
+		require.Equal(b, intent.Accepted, propose(b, conn, rule(i)).Outcome)
+		for _, s := range subscribers {
+			for s.revision() < uint64(i+2) {
+				time.Sleep(100 * time.Microsecond)
+			}
+		}
+	}
+}
+
+// BenchmarkCatchUp reports time and size of the answer to a subscriber that has
+// been away since a revision, after 1,000 rules.
+func BenchmarkCatchUp(b *testing.B) {
+	f := newFleet(b, 1)
+	f.start()
+	f.operator(fullInventory(), "c1")
+	conn := f.dial("c1", nil)
+	for i := range 1000 {
+		propose(b, conn, rule(i))
+	}
+	for _, from := range []uint64{0, 1, 901, 1000} {
+		b.Run(fmt.Sprintf("from revision %d", from), func(b *testing.B) {
+			for b.Loop() {
+				raw := call[json.RawMessage](b, conn, controlapi.IntentSubscribe, controlapi.SubscribeRequest{VM: "vm-1", Revision: from})
+				b.ReportMetric(float64(len(raw)), "answer-B")
+			}
+		})
+	}
+}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -8,7 +8,6 @@
 	"io"
 	"sync"
 
-	"bramleyhold.example/bramleyhold/internal/controlapi"
 	"bramleyhold.example/bramleyhold/internal/intent"
 )
 
@@ -16,6 +15,9 @@
 	// recentBytes bounds the accepted changes kept for deltas. Rules take about
 	// 200 bytes, so that this covers some thousands of revisions.
 	recentBytes = 1 << 20
+	// minMachineBytes is less than any VM takes in the JSON of the state: the
+	// names of its fields alone take 66.
+	minMachineBytes = 64
 	// maxSnapshotBytes bounds the decompressed state of a snapshot.
 	maxSnapshotBytes = 256 << 20
 )
@@ -37,7 +39,17 @@
 type machine struct {
 	stored
 	recentSize int
-	size       func() int
+	// snapshot returns the state for subscribers in JSON, encoded once for all
+	// of them.
+	snapshot func() (json.RawMessage, error)
+}
+
+// update is controlapi.IntentUpdate with a snapshot that is already encoded.
+type update struct {
+	FromRevision uint64          `json:"from_revision"`
+	ToRevision   uint64          `json:"to_revision"`
+	Changes      []intent.Change `json:"changes,omitempty"`
+	Snapshot     json.RawMessage `json:"snapshot,omitempty"`
 }
 
 func newMachine(s stored) *machine {
@@ -45,13 +57,7 @@
 	for _, a := range s.Recent {
 		m.recentSize += a.Size
 	}
-	m.size = sync.OnceValue(func() int {
-		data, err := json.Marshal(m.State.WithoutRecords())
-		if err != nil {
-			return 0
-		}
-		return len(data)
-	})
+	m.snapshot = sync.OnceValues(func() (json.RawMessage, error) { return json.Marshal(m.State.WithoutRecords()) })
 	return m
 }
 
@@ -85,19 +91,27 @@
 
 // update returns what brings a subscriber from a revision to the current one:
 // the changes or the whole state, whichever is smaller.
-func (m *machine) update(from uint64) controlapi.IntentUpdate {
-	u := controlapi.IntentUpdate{FromRevision: from, ToRevision: m.State.Revision}
+func (m *machine) update(from uint64) (update, error) {
+	u := update{FromRevision: from, ToRevision: max(from, m.State.Revision)}
 	if from >= m.State.Revision {
-		u.ToRevision = from
-		return u
+		return u, nil
 	}
 	changes, size, ok := m.delta(from)
-	if ok && size <= m.size() {
+	// Encoding a large state takes some 10 ms, which a small delta must not wait for.
+	if ok && size <= minMachineBytes*len(m.State.VMs) {
+		u.Changes = changes
+		return u, nil
+	}
+	snapshot, err := m.snapshot()
+	if err != nil {
+		return update{}, fmt.Errorf("encode state: %w", err)
+	}
+	if ok && size <= len(snapshot) {
 		u.Changes = changes
-		return u
+		return u, nil
 	}
-	u.Snapshot = m.State.WithoutRecords()
-	return u
+	u.Snapshot = snapshot
+	return u, nil
 }
 
 func (m *machine) delta(from uint64) (changes []intent.Change, size int, ok bool) {
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -47,6 +47,18 @@
 	}
 }
 
+// updateOf returns an update as a subscriber decodes it.
+func updateOf(t *testing.T, m *machine, from uint64) controlapi.IntentUpdate {
+	t.Helper()
+	u, err := m.update(from)
+	require.NoError(t, err)
+	data, err := json.Marshal(u)
+	require.NoError(t, err)
+	var decoded controlapi.IntentUpdate
+	require.NoError(t, json.Unmarshal(data, &decoded))
+	return decoded
+}
+
 // Guards against a catch-up that is larger than needed, has a gap or repeats
 // revisions, also from a replica that was restored from a snapshot.
 func TestUpdateIsTheSmallerOfDeltaAndSnapshot(t *testing.T) {
@@ -79,7 +91,7 @@
 			restored, err := decodeMachine(data)
 			require.NoError(t, err)
 			for _, source := range []*machine{m, restored} {
-				u := source.update(c.from)
+				u := updateOf(t, source, c.from)
 				require.Equal(t, c.snapshot, u.Snapshot != nil)
 				require.Len(t, u.Changes, c.changes)
 				require.Equal(t, max(c.from, m.State.Revision), u.ToRevision)
@@ -103,19 +115,19 @@
 	m, err := decodeMachine(nil)
 	require.NoError(t, err)
 	m = applied(t, m, inventoryOf(64))
-	early := m.update(0)
+	early := updateOf(t, m, 0)
 	for i := range uint64(5) {
 		m = applied(t, m, rule(i+1, 0))
 	}
-	state, err := m.update(0).Advance(nil)
+	state, err := updateOf(t, m, 0).Advance(nil)
 	require.NoError(t, err)
 	require.EqualValues(t, 6, state.Revision)
-	for _, u := range []controlapi.IntentUpdate{early, m.update(3), {Snapshot: &intent.State{Revision: 2}}} {
+	for _, u := range []controlapi.IntentUpdate{early, updateOf(t, m, 3), {Snapshot: &intent.State{Revision: 2}}} {
 		again, err := u.Advance(state)
 		require.NoError(t, err)
 		require.Same(t, state, again)
 	}
-	_, err = m.update(4).Advance(&intent.State{Revision: 2})
+	_, err = updateOf(t, m, 4).Advance(&intent.State{Revision: 2})
 	var gap *intent.OrderError
 	require.ErrorAs(t, err, &gap)
 }
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -18,11 +18,10 @@
 	inboxSize = 1024
 	// maxBatch bounds the requests and messages that share one sync.
 	maxBatch = 256
-	// compactEntries and compactBytes say when the log is replaced by a
-	// snapshot.
-	compactEntries = 1000
-	compactBytes   = 16 << 20
-	ticksPerBeat   = 4
+	// compactBytes is the size of the log file at which it is replaced by a
+	// snapshot, whatever the number of entries is.
+	compactBytes = 16 << 20
+	ticksPerBeat = 4
 )
 
 // errLost reports a request whose leader changed before the outcome was known.
@@ -73,7 +72,10 @@
 	applied uint64
 	send    func([]consensus.Message)
 	beat    time.Duration
-	observe func(previous, current *published)
+	// compactEntries is the number of applied entries at which the log is
+	// replaced by a snapshot.
+	compactEntries uint64
+	observe        func(previous, current *published)
 
 	inbox     chan consensus.Message
 	proposals chan proposal
@@ -96,6 +98,8 @@
 	send      func([]consensus.Message)
 	observe   func(previous, current *published)
 	random    *rand.Rand
+
+	compactEntries uint64
 }
 
 func newReplica(options replicaOptions) (*replica, error) {
@@ -114,7 +118,7 @@
 	r := &replica{
 		core: core, store: store, machine: m, applied: restored.Snapshot.Index,
 		send: options.send, beat: options.consensus.Heartbeat, observe: options.observe,
-		inbox: make(chan consensus.Message, inboxSize), proposals: make(chan proposal, maxBatch),
+		compactEntries: options.compactEntries, inbox: make(chan consensus.Message, inboxSize), proposals: make(chan proposal, maxBatch),
 		reads: make(chan chan<- outcome, maxBatch), transfers: make(chan struct{}, 1),
 		stopped: make(chan struct{}), waiters: map[uint64]waiter{}, readers: map[uint64]chan<- outcome{},
 	}
@@ -302,7 +306,7 @@
 
 func (r *replica) compact() error {
 	snapshot := r.core.Snapshot()
-	if r.applied-snapshot.Index < compactEntries && r.store.Size() < compactBytes {
+	if r.applied-snapshot.Index < r.compactEntries && r.store.Size() < compactBytes {
 		return nil
 	}
 	if r.applied == snapshot.Index {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -52,6 +52,9 @@
 	// RequestTimeout bounds how long a request waits for a majority; zero is
 	// the default.
 	RequestTimeout time.Duration
+	// CompactEntries is the number of entries after which the log is replaced
+	// by a snapshot; zero is the default.
+	CompactEntries uint64
 	Log            *logrus.Entry
 	Registry       metrics.Registry
 }
@@ -60,6 +63,10 @@
 // accepted change must be in force.
 const defaultRequestTimeout = 5 * time.Second
 
+// defaultCompactEntries keeps the log below a megabyte of rules and makes a
+// snapshot every other day at 650 changes a day.
+const defaultCompactEntries = 1000
+
 // Server is one control replica.
 type Server struct {
 	options  Options
@@ -83,6 +90,9 @@
 	if options.RequestTimeout == 0 {
 		options.RequestTimeout = defaultRequestTimeout
 	}
+	if options.CompactEntries == 0 {
+		options.CompactEntries = defaultCompactEntries
+	}
 	s := &Server{
 		options: options, members: newMemberTable(), log: options.Log, registry: options.Registry,
 		events: event.NewBuffer(string(options.VM), eventCapacity),
@@ -92,7 +102,8 @@
 	}
 	replica, err := newReplica(replicaOptions{
 		consensus: s.consensusOptions(), files: options.Files, send: s.links.send, observe: s.observe,
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // Spreads elections; needs no secrecy.
+		compactEntries: options.CompactEntries,
+		random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // Spreads elections; needs no secrecy.
 	})
 	if err != nil {
 		return nil, err
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -33,7 +33,7 @@
 
 // fleet is a set of control replicas on loopback.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	peers   map[vm.ID]string
 	folders map[vm.ID]string
 	servers map[vm.ID]*control.Server
@@ -41,7 +41,7 @@
 	change  func(*control.Options)
 }
 
-func newFleet(t *testing.T, count int) *fleet {
+func newFleet(t testing.TB, count int) *fleet {
 	t.Helper()
 	f := &fleet{
 		t: t, peers: map[vm.ID]string{}, folders: map[vm.ID]string{},
@@ -59,7 +59,7 @@
 	return f
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = l.Close() }()
@@ -96,6 +96,7 @@
 	options := control.Options{
 		VM: id, Listen: f.peers[id], Peers: f.peers, Files: files, Log: log, Registry: metrics.NewRegistry(),
 		ElectionTimeout: 300 * time.Millisecond, Heartbeat: 30 * time.Millisecond, RequestTimeout: patience,
+		CompactEntries: 50,
 	}
 	f.change(&options)
 	return options
@@ -149,7 +150,7 @@
 	return conn
 }
 
-func call[T any](t *testing.T, conn *rpc.Conn, method string, params any) T {
+func call[T any](t testing.TB, conn *rpc.Conn, method string, params any) T {
 	t.Helper()
 	var result T
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -158,7 +159,7 @@
 	return result
 }
 
-func propose(t *testing.T, conn *rpc.Conn, c intent.Change) intent.Result {
+func propose(t testing.TB, conn *rpc.Conn, c intent.Change) intent.Result {
 	t.Helper()
 	return call[intent.Result](t, conn, controlapi.IntentPropose, controlapi.ProposeRequest{Change: c})
 }
--- a/internal/control/subscribe.go
+++ b/internal/control/subscribe.go
@@ -28,7 +28,10 @@
 	if err != nil {
 		return nil, err
 	}
-	update := s.replica.view().machine.update(request.Revision)
+	update, err := s.replica.view().machine.update(request.Revision)
+	if err != nil {
+		return nil, err
+	}
 	return rpc.WithFollowUp{Result: update, Then: func() {
 		go s.notify(s.replaceSubscription(ctx, conn), conn, update.ToRevision)
 	}}, nil
@@ -65,15 +68,17 @@
 	defer subscribers.Dec(1)
 	for {
 		v := s.replica.view()
-		if update := v.machine.update(revision); update.ToRevision > revision {
-			if conn.Notify(ctx, controlapi.IntentUpdated, update) != nil {
-				_ = conn.Close()
-				s.forgetSubscription(conn)
-				return
-			}
-			revision = update.ToRevision
+		update, err := v.machine.update(revision)
+		if err == nil && update.ToRevision > revision {
+			err = conn.Notify(ctx, controlapi.IntentUpdated, update)
 			s.countUpdate(update)
 		}
+		if err != nil {
+			_ = conn.Close()
+			s.forgetSubscription(conn)
+			return
+		}
+		revision = update.ToRevision
 		select {
 		case <-v.changed:
 		case <-ctx.Done():
@@ -87,9 +92,9 @@
 	}
 }
 
-func (s *Server) countUpdate(update controlapi.IntentUpdate) {
+func (s *Server) countUpdate(u update) {
 	kind := "control.updates.delta"
-	if update.Snapshot != nil {
+	if u.Snapshot != nil {
 		kind = "control.updates.snapshot"
 	}
 	metrics.GetOrRegisterCounter(kind, s.registry).Inc(1)
