--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 
+	"bramleyhold.example/bramleyhold/internal/finding"
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/vm"
@@ -116,3 +117,30 @@
 }
 
 var roleOctet = map[vm.Role]byte{vm.RoleControl: 1, vm.RoleBalancer: 2, vm.RoleUpstream: 3}
+
+// The bounds of a plan: zones, addresses and device names are given for these.
+const (
+	maxBalancers = 16
+	maxUpstreams = 64
+)
+
+// Validate reports every setting of the plan that cannot be used.
+func (p *Plan) Validate() error {
+	var list finding.List
+	switch p.Control {
+	case 1, 3, 5, 7:
+	default:
+		list.Errorf(finding.Place{Object: "setting --control"}, "%d: want 1, 3, 5 or 7", p.Control)
+	}
+	if p.Balancers < 1 || p.Balancers > maxBalancers {
+		list.Errorf(finding.Place{Object: "setting --balancers"}, "%d: want 1 to %d", p.Balancers, maxBalancers)
+	}
+	upstreams := 0
+	for _, s := range p.Services {
+		upstreams += s.Upstreams
+	}
+	if upstreams > maxUpstreams {
+		list.Errorf(finding.Place{Object: "plan"}, "%d upstreams: want at most %d", upstreams, maxUpstreams)
+	}
+	return list.Err()
+}
