--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -36,6 +36,7 @@
 	"rule-change":      ruleChange,
 	"upstream-crash":   upstreamCrash,
 	"upstream-replace": upstreamReplace,
+	"everything":       everything,
 }
 
 // Scenarios returns the names of the scenarios that are built.
@@ -210,13 +211,17 @@
 	w.at(0.2, func() { traffic(false) })
 	w.at(0.4, func() { traffic(true) })
 	w.at(0.6, func() {
-		changed := w.loads[0].Contract
-		changed.QueueDeadline *= 2
-		w.change(intent.Change{Kind: intent.KindContract, Contract: &intent.ContractRule{Service: w.loads[0].Name, Contract: changed}})
+		w.setQueueDeadline(w.loads[0], 3*time.Second)
 		w.leave(w.upstream(0, 2), true)
 	})
 }
 
+func (w *world) setQueueDeadline(s *serviceRun, deadline time.Duration) {
+	changed := s.Contract
+	changed.QueueDeadline = deadline
+	w.change(intent.Change{Kind: intent.KindContract, Contract: &intent.ContractRule{Service: s.Name, Contract: changed}})
+}
+
 // crashUpstream loses a VM with its server, agent and flows.
 func (w *world) crashUpstream(m *machine) {
 	if !m.alive {
