--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GOFUMPT := go run mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
 PROGRAMS := $(notdir $(wildcard cmd/*))
 
-.PHONY: build test fmt lint generate e2e
+.PHONY: build test fmt lint generate e2e slopes bench dev measure
 
 build: ## Builds all programs into bin/.
 	go build -o bin/ ./cmd/...
@@ -25,3 +25,16 @@
 
 e2e: ## Runs the path over TUN devices; needs root.
 	go test -race -tags e2e -count=1 -timeout 5m ./internal/fleet/...
+
+slopes: ## Measures how state, messages and processor time grow with the fleet.
+	go run ./cmd/bramley-dev slopes
+
+bench: ## Compares forwarding with a bare batched UDP relay; prints costs per decision.
+	go test -run '^$$' -bench Forwarding -benchtime 2s -count 3 ./internal/node
+	go test -run '^$$' -bench . ./internal/frame ./internal/packet ./internal/balancer ./internal/agent
+
+dev: ## Runs a fleet on loopback with stand-in upstreams; needs root for TUN devices.
+	go run ./cmd/bramley-dev up
+
+measure: ## Measures all scenarios for both example deployments.
+	go run ./cmd/bramley-dev measure --all
--- a/cmd/bramley-dev/main.go
+++ b/cmd/bramley-dev/main.go
@@ -6,20 +6,28 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
+	"bramleyhold.example/bramleyhold/internal/fleet"
 	"bramleyhold.example/bramleyhold/internal/measure"
+	"bramleyhold.example/bramleyhold/internal/settings"
+	"bramleyhold.example/bramleyhold/internal/slopes"
 )
 
 func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	root := &cli.Command{
 		Name:     "bramley-dev",
-		Usage:    "development tools of bramleyhold",
-		Commands: []*cli.Command{measure.Command()},
+		Usage:    "run and measure all roles of a fleet on one machine",
+		Commands: []*cli.Command{fleet.Command(), measure.Command(), slopes.Command()},
 	}
-	if err := root.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
+	err := root.Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		os.Exit(settings.ExitSettings)
 	}
 }
--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -41,7 +41,7 @@
 func (in *input) changeOptions() changeOptions {
 	o := changeOptions{dryRun: in.toggle("dry-run"), operationID: in.text("operation-id")}
 	if len(o.operationID) > maxOperationBytes {
-		in.findings.Errorf(flagPlace("operation-id"), "has %d bytes: at most %d are allowed", len(o.operationID), maxOperationBytes)
+		in.fail("operation-id", "has %d bytes: at most %d are allowed", len(o.operationID), maxOperationBytes)
 	}
 	if o.operationID == "" {
 		o.operationID = newOperationID()
@@ -49,7 +49,7 @@
 	if text := in.text("base-revision"); text != "" {
 		base, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
-			in.findings.Errorf(flagPlace("base-revision"), "%q: want a revision number", text)
+			in.fail("base-revision", "%q: want a revision number", text)
 		}
 		o.base = &base
 	}
@@ -73,10 +73,15 @@
 	Change       string         `json:"change"`
 }
 
-// currentState reads a state that a quorum has confirmed.
+// currentState reads the state, confirmed by a quorum, on which a change is
+// based.
 func (s *session) currentState(ctx context.Context) (*intent.State, error) {
 	var state intent.State
 	err := s.client.call(ctx, controlapi.IntentGet, controlapi.GetRequest{Linearizable: true}, &state)
+	var unavailable *UnavailableError
+	if errors.As(err, &unavailable) {
+		unavailable.Unchanged = true
+	}
 	return &state, err
 }
 
@@ -92,17 +97,28 @@
 	c.BaseRevision = base
 	var result intent.Result
 	err = s.client.call(ctx, controlapi.IntentPropose, controlapi.ProposeRequest{Change: c, DryRun: o.dryRun}, &result)
+	if err != nil {
+		return outcomeOf(err, o, c)
+	}
+	return s.showResult(result, o, c)
+}
+
+// outcomeOf adds to the error of a proposal whether the change may have been
+// accepted, and how to find out.
+func outcomeOf(err error, o changeOptions, c intent.Change) error {
+	repeat := fmt.Sprintf("--operation-id %s --base-revision %d", c.OperationID, c.BaseRevision)
 	var unavailable *UnavailableError
 	if errors.As(err, &unavailable) {
-		unavailable.Unknown = unavailable.Unknown && !o.dryRun
-		if unavailable.Unknown {
-			unavailable.Repeat = fmt.Sprintf("--operation-id %s --base-revision %d", c.OperationID, base)
+		unavailable.Unchanged = o.dryRun || !unavailable.Sent
+		if !unavailable.Unchanged {
+			unavailable.Repeat = repeat
 		}
-	}
-	if err != nil {
 		return err
 	}
-	return s.showResult(result, o, c)
+	if code, _ := exitCode(err); code == ExitFailure && !o.dryRun {
+		return fmt.Errorf("%w\nthe outcome is unknown; repeat the command with %s to get the first answer", err, repeat)
+	}
+	return err
 }
 
 func (s *session) baseRevision(ctx context.Context, o changeOptions, read *intent.State) (uint64, error) {
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -19,8 +20,9 @@
 
 const (
 	// attemptTimeout bounds one attempt, so that a silent control VM leaves
-	// time for the others.
-	attemptTimeout = 4 * time.Second
+	// time for the others. It is longer than the 5 s for which bramley-control
+	// waits for a majority, so that its answer arrives.
+	attemptTimeout = 6 * time.Second
 	// minAttempt is about two exchanges between zones plus a TLS handshake.
 	minAttempt = 50 * time.Millisecond
 	// maxRetries is the initial retry budget. One command makes few requests,
@@ -50,19 +52,18 @@
 
 func newClient(addresses []netip.AddrPort, config *tls.Config, rng *rand.Rand) *client {
 	c := &client{
-		config: config, rng: rng, now: time.Now, pause: pause, conns: map[string]*rpc.Conn{},
-		policy: &retry.Policy{
-			Budget:     retry.NewBudget(retryRatio, maxRetries),
-			Backoff:    retry.Backoff{Base: backoffBase, Max: backoffMax},
-			MinAttempt: minAttempt,
-		},
+		config: rpc.RequireRole(config, rpc.RoleControl), rng: rng, now: time.Now, pause: pause, conns: map[string]*rpc.Conn{},
+		policy: &retry.Policy{Backoff: retry.Backoff{Base: backoffBase, Max: backoffMax}, MinAttempt: minAttempt},
 	}
+	c.setBudget(maxRetries)
 	for _, a := range addresses {
 		c.addresses = append(c.addresses, a.String())
 	}
 	return c
 }
 
+func (c *client) setBudget(retries float64) { c.policy.Budget = retry.NewBudget(retryRatio, retries) }
+
 func (c *client) close() {
 	for _, conn := range c.conns {
 		_ = conn.Close()
@@ -83,7 +84,11 @@
 		if final := definitive(method, err); final != nil {
 			return final
 		}
-		failed.Last = err
+		failed.Sent = failed.Sent || sent
+		if failed.Last == nil || ctx.Err() == nil {
+			// An attempt cut off by the deadline says less than the one before.
+			failed.Last = err
+		}
 		var moved *leaderMovedError
 		if errors.As(err, &moved) {
 			c.leader = moved.address
@@ -91,8 +96,6 @@
 			if c.leader != "" && redirects <= maxRedirects {
 				continue
 			}
-		} else if sent {
-			failed.Unknown = true
 		}
 		c.leader = ""
 		c.target++
@@ -143,7 +146,8 @@
 		delete(c.conns, address)
 	}
 	if answer != nil && answer.Code == controlapi.CodeNotLeader {
-		return false, movedTo(answer, c.config)
+		// A leader that is deposed while it commits may answer like this, too.
+		return true, movedTo(answer, c.config)
 	}
 	return true, err
 }
@@ -200,11 +204,14 @@
 	case controlapi.CodeUnavailable:
 		return nil
 	case controlapi.CodeInvalid:
-		rejected := &RejectedError{Reason: answer.Message}
 		var list finding.List
 		decodeData(answer, &list)
-		rejected.List = list
-		return rejected
+		reason := answer.Message
+		if err := list.Err(); err != nil {
+			// The message of bramley-control repeats the findings.
+			reason = strings.TrimSuffix(reason, ": "+err.Error())
+		}
+		return &RejectedError{Reason: reason, List: list}
 	case controlapi.CodeNotAuthorized:
 		return &NotAuthorizedError{Method: method, Reason: answer.Message}
 	}
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -6,6 +6,7 @@
 
 	"bramleyhold.example/bramleyhold/internal/finding"
 	"bramleyhold.example/bramleyhold/internal/intent"
+	"bramleyhold.example/bramleyhold/internal/keys"
 )
 
 // The exit codes of bramleyctl.
@@ -59,17 +60,22 @@
 	Attempts int
 	Reason   string
 	Last     error
-	// Unknown is set if a change may have been accepted without an answer.
-	Unknown bool
-	// Repeat is how to find out; it is set with Unknown.
+	// Sent is set if a control VM may have executed the request.
+	Sent bool
+	// Repeat is how to get the outcome of a change that was sent.
 	Repeat string
+	// Unchanged is set for a change that was not sent.
+	Unchanged bool
 }
 
 func (e *UnavailableError) Error() string {
 	text := fmt.Sprintf("unavailable: %s failed after %d attempts (%s): %v", e.Method, e.Attempts, e.Reason, e.Last)
-	if e.Unknown {
+	if e.Repeat != "" {
 		text += "\nthe outcome is unknown; repeat the command with " + e.Repeat + " to get the first answer"
 	}
+	if e.Unchanged {
+		text += "\nthis command changed nothing"
+	}
 	return text
 }
 
@@ -93,13 +99,14 @@
 		conflict    *ConflictError
 		unavailable *UnavailableError
 		denied      *NotAuthorizedError
+		state       *keys.StateError
 	)
 	switch {
 	case err == nil:
 		return ExitOK, "ok"
 	case errors.As(err, &usage):
 		return ExitUsage, "usage"
-	case errors.As(err, &rejected):
+	case errors.As(err, &rejected), errors.As(err, &state):
 		return ExitRejected, "rejected"
 	case errors.As(err, &conflict):
 		return ExitConflict, "conflict"
--- a/internal/ctl/session.go
+++ b/internal/ctl/session.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"bramleyhold.example/bramleyhold/internal/finding"
+	"bramleyhold.example/bramleyhold/internal/keys"
 )
 
 const (
@@ -32,7 +33,7 @@
 	return []cli.Flag{
 		textFlag("control", "", "control addresses as ADDRESS:PORT, separated by commas"),
 		textFlag("keys", "", "folder with the certificate of the operator; without it connections are plain TCP, on loopback only"),
-		textFlag("timeout", "15s", "time for the whole command with its retries"),
+		textFlag("timeout", "20s", "time for the whole command with its retries"),
 		&cli.StringFlag{
 			Name: "operator", Usage: "name of the operator in the history",
 			Sources: cli.EnvVars(envName("operator"), "USER"),
@@ -67,7 +68,7 @@
 		}
 		return nil
 	}
-	config, err := loadClientTLS(dir)
+	_, config, err := keys.LoadTLS(dir)
 	if err != nil {
 		in.fail("keys", "%v", err)
 	}
--- a/internal/membership/fleet/fleet.go
+++ b/internal/membership/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"bramleyhold.example/bramleyhold/internal/membership"
@@ -38,10 +39,16 @@
 	Members []*Member
 	// Quality decides on each message. It may be replaced at any time.
 	Quality func(from, to *Member) memlink.Quality
+	// Tamper, if set, replaces the body of each message.
+	Tamper func(from, to *Member, body []byte) []byte
 	// Between counts the bytes between zones, by sender and receiver zone.
 	Between map[[2]zone.ID]int64
 
-	network   *memlink.Network
+	// Handled and HandleTime measure the processor time of received messages.
+	Handled    int64
+	HandleTime time.Duration
+
+	network   *memlink.Network[netip.AddrPort, []byte]
 	rng       *rand.Rand
 	seeds     []netip.AddrPort
 	byAddress map[netip.AddrPort]*Member
@@ -63,7 +70,7 @@
 		Now: Epoch, Quality: Good, Between: map[[2]zone.ID]int64{},
 		rng: rand.New(rand.NewPCG(seed, 1)), byAddress: map[netip.AddrPort]*Member{},
 	}
-	f.network = memlink.New(rand.New(rand.NewPCG(seed, 2)), func(from, to netip.AddrPort) memlink.Quality {
+	f.network = memlink.New[netip.AddrPort, []byte](rand.New(rand.NewPCG(seed, 2)), func(from, to netip.AddrPort) memlink.Quality {
 		a, b := f.byAddress[from], f.byAddress[to]
 		if a == nil || b == nil {
 			return memlink.Quality{Down: true}
@@ -133,7 +140,10 @@
 		if to := f.byAddress[s.To]; to != nil && to.Zone != m.Zone {
 			f.Between[[2]zone.ID{m.Zone, to.Zone}] += size
 		}
-		f.network.Send(f.Now, m.Address, s.To, s.Body)
+		if f.Tamper != nil {
+			s.Body = f.Tamper(m, f.byAddress[s.To], s.Body)
+		}
+		f.network.Send(f.Now, m.Address, s.To, s.Body, len(s.Body)+frameOverhead)
 	}
 }
 
@@ -172,7 +182,7 @@
 	}
 }
 
-func (f *Fleet) deliver(p memlink.Packet) {
+func (f *Fleet) deliver(p memlink.Packet[netip.AddrPort, []byte]) {
 	to := f.byAddress[p.To]
 	if to == nil || to.Stopped {
 		return
@@ -181,17 +191,43 @@
 		f.Now = p.At
 	}
 	to.Received += int64(len(p.Body) + frameOverhead)
-	f.Do(to, to.Node.Handle(f.Now, p.From, p.Body))
+	start := time.Now()
+	out := to.Node.Handle(f.Now, p.From, p.Body)
+	f.HandleTime += time.Since(start)
+	f.Handled++
+	f.Do(to, out)
 }
 
 // ResetCounters starts the byte counters again.
 func (f *Fleet) ResetCounters() {
 	clear(f.Between)
+	f.Handled, f.HandleTime = 0, 0
 	for _, m := range f.Members {
 		m.Sent, m.Received, m.Messages = 0, 0, 0
 	}
 }
 
+// AllKnow reports whether every running member knows count members.
+func (f *Fleet) AllKnow(count int) bool {
+	for _, m := range f.Members {
+		if !m.Stopped && m.Node.Size() != count {
+			return false
+		}
+	}
+	return true
+}
+
+// AllHold reports whether every other running member gives the subject one of
+// the statuses.
+func (f *Fleet) AllHold(subject *Member, statuses ...view.Status) bool {
+	for _, m := range f.Members {
+		if !m.Stopped && m != subject && !slices.Contains(statuses, m.StatusOf(subject)) {
+			return false
+		}
+	}
+	return true
+}
+
 // Sees returns how many members the node counts with the given status.
 func (m *Member) Sees(status view.Status) int {
 	count := 0
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -27,6 +27,7 @@
 	names map[service.Name]service.Name
 
 	started   bool
+	startedAt time.Time
 	probes    prober
 	gossip    gossiper
 	repair    repairer
@@ -41,6 +42,7 @@
 }
 
 // New returns a node that knows only itself. The first Tick starts the join.
+// The configuration must pass Validate.
 func New(config Config) *Node {
 	n := &Node{
 		seeds:     slices.Clone(config.Seeds),
@@ -63,12 +65,16 @@
 // the count is the same.
 func (n *Node) Changes() uint64 { return n.changes }
 
+// Size returns how many members are known, including failed ones.
+func (n *Node) Size() int { return len(n.records) }
+
 // Self returns the own announcement.
 func (n *Node) Self() view.Member { return n.self.member }
 
 // Members returns all known members, also failed ones and those that have
 // left, in the order of their VM ids. The status is what the observers agree
-// on.
+// on. The list is built on each call, which takes milliseconds at 6,600
+// members: call it at most a few times per second when Changes has moved.
 func (n *Node) Members() []view.Member {
 	members := make([]view.Member, 0, len(n.records))
 	for _, r := range n.records {
@@ -127,10 +133,10 @@
 // start sets the first deadlines. Random offsets keep processes that start
 // together from sending together.
 func (n *Node) start(now time.Time) {
-	n.started = true
+	n.started, n.startedAt = true, now
 	n.self.zone.stampAt = now
 	n.probes.nextAt = now.Add(n.jitter(probeInterval))
-	n.repair.nextAt = now.Add(n.jitter(digestInterval))
+	n.repair.nextAt = now.Add(n.jitter(youngInterval))
 	n.repair.seedAt = now.Add(n.jitter(seedInterval))
 	n.joining.nextAt = now.Add(n.jitter(joinSpread))
 	n.stampAt = now.Add(n.jitter(stampInterval))
