--- a/internal/measure/machine.go
+++ b/internal/measure/machine.go
@@ -168,6 +168,9 @@
 
 // eligible reports whether an upstream may get new work.
 func (m *machine) eligible() bool {
+	if m.server.shedding || m.w.now.Before(m.server.coldUntil) {
+		return false
+	}
 	return m.alive && m.server.up && m.leavingSince.IsZero() && m.announced.Status == view.Ready
 }
 
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -29,7 +29,7 @@
 	return &bramleyHolder{m: m, held: map[uint64]heldPacket{}, core: agent.New(agent.Config{
 		VM: m.id, Service: m.service, Incarnation: m.incarnation,
 		Upstream: netip.AddrPortFrom(m.address.Addr(), upstreamPort),
-		Aliases:  m.aliases(), Hasher: m.w.hasher,
+		Aliases:  m.aliases(), Hasher: m.w.hasher, Recover: true,
 	})}
 }
 
@@ -81,6 +81,9 @@
 	m    *machine
 	core *agent.Core
 	held map[uint64]heldPacket
+	// ready is set when the recovery has ended and the agent has announced it.
+	ready    bool
+	reported time.Time
 }
 
 func (b *bramleyHolder) frame(h frame.Header, s *segment) {
@@ -107,6 +110,16 @@
 	var out agent.Actions
 	b.core.Tick(b.m.w.now, &out)
 	b.apply(&out, frame.Header{}, nil)
+	if !b.ready && !b.core.Recovering() {
+		b.ready = true
+		if b.m.announced.Status == view.Starting {
+			b.m.w.announce(b.m, view.Ready)
+		}
+	}
+	if b.m.w.now.Sub(b.reported) >= reportInterval {
+		b.reported = b.m.w.now
+		b.core.SetReport(b.m.server.report())
+	}
 }
 
 func (b *bramleyHolder) apply(out *agent.Actions, h frame.Header, s *segment) {
@@ -124,6 +137,7 @@
 			b.m.sendFrame(a.To, a.Header, s)
 		case agent.Refuse:
 			w.refused(b.m, a)
+			delete(b.held, a.Ticket)
 			b.m.reset(w.calls[a.Flow])
 		case agent.ResetCaller:
 			b.m.reset(w.calls[a.Flow])
@@ -141,15 +155,16 @@
 	switch a.Kind {
 	case agent.Hold:
 		b.held[a.Ticket] = heldPacket{h: h, s: s}
-		if s.meta.Opening() {
+		// An opening with payload may wait for its claim, with a slot reserved.
+		if s.meta.Opening() && !s.call.fastOpen && !b.core.Recovering() {
 			b.m.w.startWait(b.m, s.call)
 		}
 	case agent.Release, agent.Discard:
 		p, ok := b.held[a.Ticket]
-		delete(b.held, a.Ticket)
 		if !ok {
 			return
 		}
+		delete(b.held, a.Ticket)
 		delete(p.s.call.run.waiting, p.s.call.key)
 		if a.Kind == agent.Release {
 			b.frame(p.h, p.s)
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -36,6 +36,9 @@
 	"rule-change":      ruleChange,
 	"upstream-crash":   upstreamCrash,
 	"upstream-replace": upstreamReplace,
+	"cold-start":       coldStart,
+	"shed":             shed,
+	"lying-load":       lyingLoad,
 	"everything":       everything,
 }
 
@@ -179,6 +182,11 @@
 	m.alive = true
 	m.startProcess()
 	m.snapshot()
+	if m.w.opts.Policy.usesAgents() {
+		// The agent announces that it is ready when it has recovered its flows.
+		m.w.announce(m, view.Starting)
+		return
+	}
 	m.w.announce(m, view.Ready)
 }
 
@@ -254,6 +262,41 @@
 	})
 }
 
+// coldStart brings a lost upstream back that is slow at first.
+func coldStart(w *world) {
+	const coldTime = 8 * time.Second
+	w.at(0.1, func() { w.crashUpstream(w.upstream(0, 1)) })
+	w.at(0.3, func() {
+		m := w.upstream(0, 1)
+		m.server.coldUntil = w.now.Add(coldTime)
+		m.announced.ColdUntil = m.server.coldUntil
+		w.returnUpstream(m)
+	})
+}
+
+// shed lets two upstreams ask for no work, one after the other.
+func shed(w *world) {
+	for i := range 2 {
+		set := func(shedding bool) func() {
+			return func() {
+				m := w.upstream(0, i+1)
+				w.account(w.loads[0])
+				m.server.shedding = shedding
+			}
+		}
+		w.at(0.2+0.4*float64(i), set(true))
+		w.at(0.4+0.4*float64(i), set(false))
+	}
+}
+
+// lyingLoad lets one upstream of each service report that it is idle.
+func lyingLoad(w *world) {
+	w.at(0.1, func() {
+		w.upstream(0, 1).server.lying = true
+		w.upstream(1, 0).server.lying = true
+	})
+}
+
 // upstreamReplace returns a lost VM under the same address for another service.
 func upstreamReplace(w *world) {
 	w.at(0.3, func() { w.replaceUpstream(w.upstream(0, 1), w.loads[1]) })
@@ -265,6 +308,8 @@
 		return
 	}
 	w.crashUpstream(m)
+	// The inventory rejects a new service for a VM that is in use.
+	w.leave(m, true)
 	w.after(replaceAfter, func() {
 		inv := intent.Inventory{}
 		for _, s := range w.intent.Services {
@@ -277,6 +322,7 @@
 			inv.Machines = append(inv.Machines, v.Machine)
 		}
 		w.change(intent.Change{Kind: intent.KindInventory, Inventory: &inv})
+		w.leave(m, false)
 		m.service, m.announced.Service = to.Name, to.Name
 		w.returnUpstream(m)
 	})
