agent: fewer control bytes per opening

Cause: each opening was registered at two keepers, hinted and then confirmed at both; loads went to all members each second. Change: at the opening only the first keeper is told; the second gets confirmed flows in batches. No hint where the holder is the flow's home, which balancers ask anyway. Loads go to all members each 10 s and at once when the placers change, to placers each second. Ended flows are collected for 1 s. The driver counts the frame header that the transport really sends.

--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -16,8 +16,11 @@
 const (
 	// loadInterval is the shortest time between two reports to a placer.
 	loadInterval = 5 * time.Millisecond
-	// loadRepeat is how often all members get a report.
+	// loadRepeat is how often the placers get a report without a change.
 	loadRepeat = time.Second
+	// loadToAll is how often all members get a report. They need it when they
+	// become placers, and then get one at once.
+	loadToAll = 10 * time.Second
 	// loadConfirm delays a report that only confirms placements. It is below
 	// pendingTimeout, after which the placer would forget them.
 	loadConfirm = 400 * time.Millisecond
@@ -90,6 +93,8 @@
 	lastBusy   int
 	lastReport time.Time
 	lastToAll  time.Time
+	// placersOf is the service as it was at the last report to all members.
+	placersOf *view.Service
 }
 
 func newLoadLimiter() *rate.Limiter { return rate.NewLimiter(loadBytesPerSecond, loadBurstBytes) }
@@ -170,8 +175,8 @@
 		s.changed.Store(true)
 	}
 	since := now.Sub(s.lastReport)
-	toAll = now.Sub(s.lastToAll) >= loadRepeat
-	due = toAll || freed || (s.urgent.Load() && since >= loadInterval) || (s.changed.Load() && since >= loadConfirm)
+	toAll = now.Sub(s.lastToAll) >= loadToAll || !s.placersOf.SamePlacers(svc)
+	due = toAll || freed || since >= loadRepeat || (s.urgent.Load() && since >= loadInterval) || (s.changed.Load() && since >= loadConfirm)
 	if !due {
 		return false, false
 	}
@@ -185,7 +190,7 @@
 		return false, false
 	}
 	if toAll {
-		s.lastToAll = now
+		s.lastToAll, s.placersOf = now, svc
 	}
 	s.lastReport, s.lastBusy = now, l.Busy
 	s.wasFull.Store(full)
--- a/internal/agent/registering.go
+++ b/internal/agent/registering.go
@@ -21,7 +21,7 @@
 	moveInterval = 800 * time.Millisecond
 	// unregisterInterval and confirmInterval collect flows into one message.
 	// Flows that end within confirmInterval are not registered a second time.
-	unregisterInterval = 200 * time.Millisecond
+	unregisterInterval = time.Second
 	confirmInterval    = time.Second
 	// registrationCopies is the number of peers that keep a registration.
 	registrationCopies = 2
@@ -122,13 +122,17 @@
 	return false
 }
 
-// announceFlow tells the peers and the balancer about a flow that was admitted.
+// announceFlow tells the first keeper and the balancer about a flow that was
+// admitted. If this agent is the flow's home, balancers find it without a hint.
+// The second keeper serves recovery only and gets flows in batches once they
+// are confirmed, which spares short flows that message.
 func (c *Core) announceFlow(a *arrival, record peer.FlowRecord, out *Actions) {
 	c.observed.openings.Add(1)
-	c.hintOrigin(a.h, a.key, c.cfg.VM, c.cfg.Incarnation, out)
-	k := c.keepers(a.svc, a.hash)
-	for _, member := range k.members[:k.count] {
-		c.sendRegister(a.svc, member, []peer.FlowRecord{record}, out)
+	if home := a.svc.Home(a.hash); home < 0 || a.svc.Hashes[home] != c.selfHash {
+		c.hintOrigin(a.h, a.key, c.cfg.VM, c.cfg.Incarnation, out)
+	}
+	if k := c.keepers(a.svc, a.hash); k.count > 0 {
+		c.sendRegister(a.svc, k.members[0], []peer.FlowRecord{record}, out)
 	}
 }
 
--- a/internal/measure/machine.go
+++ b/internal/measure/machine.go
@@ -211,7 +211,7 @@
 	if err != nil {
 		panic(err)
 	}
-	h := frame.Header{Kind: frame.KindPeer, Incarnation: uint64(m.incarnation), Epoch: m.state.Revision}
+	h := frame.Header{Kind: frame.KindPeer}
 	header, err := h.MarshalMsg(nil)
 	if err != nil {
 		panic(err)
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -340,3 +340,15 @@
 	}
 	return mask
 }
+
+// SamePlacers reports whether the same processes place openings in both
+// views of a service. It may be called on nil.
+func (s *Service) SamePlacers(other *Service) bool {
+	if s == nil || other == nil {
+		return s == other
+	}
+	return slices.EqualFunc(s.placers, other.placers, func(a, b int) bool {
+		x, y := &s.Members[a], &other.Members[b]
+		return x.VM == y.VM && x.Incarnation == y.Incarnation
+	})
+}
