Longer histories, cut links and moved leads in the linearizability check

Change: clients ask another replica 40 ms after a refusal; links are cut in one direction and the lead is moved during the histories. Messages queued for an unreachable replica are dropped, since they are outdated after the pause. A timer records how long proposals take.

--- a/internal/consensus/history_test.go
+++ b/internal/consensus/history_test.go
@@ -9,14 +9,17 @@
 	"github.com/stretchr/testify/require"
 
 	"bramleyhold.example/bramleyhold/internal/intent"
+	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
 const (
 	historySeeds   = 120
 	historyTime    = 12 * time.Second
 	historyClients = 4
-	// answerTimeout is after how long a client sends its request again.
+	// answerTimeout is after how long a client sends a request again that a
+	// leader has taken; refusedPause is the pause after a refusal.
 	answerTimeout = 400 * time.Millisecond
+	refusedPause  = 2 * tick
 )
 
 type input struct {
@@ -55,7 +58,7 @@
 	count    int
 	busy     bool
 	started  time.Time
-	sent     time.Time
+	again    time.Time
 	request  input
 	change   intent.Change
 	revision uint64
@@ -69,7 +72,7 @@
 		}
 		return
 	}
-	if l.c.now.Sub(l.sent) >= answerTimeout {
+	if !l.c.now.Before(l.again) {
 		l.send()
 	}
 }
@@ -83,22 +86,25 @@
 }
 
 func (l *client) send() {
-	l.sent = l.c.now
+	l.again = l.c.now.Add(refusedPause)
 	m := l.c.members[l.c.random.IntN(len(l.c.members))]
 	if m.core == nil {
 		return
 	}
 	count := l.count
 	if !l.request.read {
-		l.c.propose(m, l.change, func(r intent.Result) {
+		if l.c.propose(m, l.change, func(r intent.Result) {
 			l.finish(count, output{accepted: r.Outcome == intent.Accepted, revision: r.Revision})
-		})
+		}) {
+			l.again = l.c.now.Add(answerTimeout)
+		}
 		return
 	}
 	l.c.reads++
 	if m.core.Read(l.c.reads) != nil {
 		return
 	}
+	l.again = l.c.now.Add(answerTimeout)
 	m.reading[l.c.reads] = func(ok bool, revision uint64) {
 		if ok {
 			l.finish(count, output{revision: revision})
@@ -121,7 +127,8 @@
 	})
 }
 
-// disturb crashes, restarts, partitions and wipes replicas. At most one disk is
+// disturb crashes, restarts, partitions and wipes replicas, cuts links in one
+// direction and moves the lead. At most one disk is
 // lost between two full repairs, which a majority survives.
 func (c *cluster) disturb(repaired bool) {
 	m := c.members[c.random.IntN(len(c.members))]
@@ -136,6 +143,13 @@
 		c.cut[m.id] = true
 	case 5, 6, 7:
 		delete(c.cut, m.id)
+		clear(c.cutLinks)
+	case 9:
+		c.cutLinks[[2]vm.ID{m.id, c.members[c.random.IntN(len(c.members))].id}] = true
+	case 10:
+		if m.core != nil && m.core.TransferLeadership(c.now) {
+			c.process(m)
+		}
 	case 8:
 		if repaired && c.random.IntN(3) == 0 {
 			c.wipe(m)
@@ -158,6 +172,7 @@
 // heal ends all faults.
 func (c *cluster) heal() {
 	clear(c.cut)
+	clear(c.cutLinks)
 	for _, m := range c.members {
 		if m.core == nil {
 			c.start(m)
--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -94,6 +94,7 @@
 			if p.deliver(ctx, m) == nil {
 				continue
 			}
+			p.discard()
 			pause := minDialPause + rand.N(maxDialPause-minDialPause) //nolint:gosec // Spreads load; needs no secrecy.
 			select {
 			case <-ctx.Done():
@@ -103,6 +104,18 @@
 	}
 }
 
+// discard drops the queued messages. After a pause they would be outdated, and
+// the protocol sends again what still matters.
+func (p *link) discard() {
+	for {
+		select {
+		case <-p.queue:
+		default:
+			return
+		}
+	}
+}
+
 func (p *link) deliver(ctx context.Context, m consensus.Message) error {
 	data, err := cbor.Marshal(m)
 	if err != nil {
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -41,6 +41,7 @@
 		return nil, err
 	}
 	var result intent.Result
+	defer metrics.GetOrRegisterTimer("control.proposals.time", s.registry).UpdateSince(time.Now())
 	err = s.throughLeader(ctx, controlapi.IntentPropose, request, &result, func(ctx context.Context) error {
 		var err error
 		result, err = s.proposeHere(ctx, request)
