--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -16,6 +16,7 @@
 const (
 	dialTimeout      = 3 * time.Second
 	handshakeTimeout = 3 * time.Second
+	acceptPause      = 100 * time.Millisecond
 )
 
 // Handler answers the requests of one connection.
@@ -97,7 +98,9 @@
 // Address returns the address that the server listens on.
 func (s *Server) Address() net.Addr { return s.listener.Addr() }
 
-// Serve accepts connections until Close is called, and then returns nil.
+// Serve accepts connections until Close is called, and then returns nil. After
+// any other error, for example too many open files, it reports the error and
+// tries again, because connections that end free what is missing.
 func (s *Server) Serve(ctx context.Context) error {
 	for {
 		raw, err := s.listener.Accept()
@@ -105,7 +108,9 @@
 			return nil
 		}
 		if err != nil {
-			return fmt.Errorf("accept: %w", err)
+			s.onReject(fmt.Errorf("accept: %w", err))
+			time.Sleep(acceptPause)
+			continue
 		}
 		s.done.Add(1)
 		go s.serveConn(ctx, raw)
