Large catch-up answers are compressed

Cause: a node that starts from nothing fetched 1.0 MB at 6,600 VMs, which takes more than five minutes at the 3 KB/s that control may use per node. Change: updates above 1 KiB carry gzip of the smaller of changes and state; IntentUpdate reads both forms, so that clients need no change.

--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -8,6 +8,7 @@
 	"io"
 	"sync"
 
+	"bramleyhold.example/bramleyhold/internal/controlapi"
 	"bramleyhold.example/bramleyhold/internal/intent"
 )
 
@@ -15,9 +16,10 @@
 	// recentBytes bounds the accepted changes kept for deltas. Rules take about
 	// 200 bytes, so that this covers some thousands of revisions.
 	recentBytes = 1 << 20
-	// minMachineBytes is less than any VM takes in the JSON of the state: the
-	// names of its fields alone take 66.
-	minMachineBytes = 64
+	// packAbove is the size up to which changes are sent as they are, without
+	// a comparison with the state: packing the state takes some 10 ms, which
+	// the usual update of one rule must not wait for.
+	packAbove = 1 << 10
 	// maxSnapshotBytes bounds the decompressed state of a snapshot.
 	maxSnapshotBytes = 256 << 20
 )
@@ -39,17 +41,8 @@
 type machine struct {
 	stored
 	recentSize int
-	// snapshot returns the state for subscribers in JSON, encoded once for all
-	// of them.
-	snapshot func() (json.RawMessage, error)
-}
-
-// update is controlapi.IntentUpdate with a snapshot that is already encoded.
-type update struct {
-	FromRevision uint64          `json:"from_revision"`
-	ToRevision   uint64          `json:"to_revision"`
-	Changes      []intent.Change `json:"changes,omitempty"`
-	Snapshot     json.RawMessage `json:"snapshot,omitempty"`
+	// snapshot returns the state for subscribers, encoded once for all of them.
+	snapshot func() ([]byte, error)
 }
 
 func newMachine(s stored) *machine {
@@ -57,7 +50,7 @@
 	for _, a := range s.Recent {
 		m.recentSize += a.Size
 	}
-	m.snapshot = sync.OnceValues(func() (json.RawMessage, error) { return json.Marshal(m.State.WithoutRecords()) })
+	m.snapshot = sync.OnceValues(controlapi.UpdateContent{Snapshot: s.State.WithoutRecords()}.Pack)
 	return m
 }
 
@@ -91,27 +84,25 @@
 
 // update returns what brings a subscriber from a revision to the current one:
 // the changes or the whole state, whichever is smaller.
-func (m *machine) update(from uint64) (update, error) {
-	u := update{FromRevision: from, ToRevision: max(from, m.State.Revision)}
+func (m *machine) update(from uint64) (controlapi.PackedUpdate, error) {
+	u := controlapi.PackedUpdate{FromRevision: from, ToRevision: max(from, m.State.Revision)}
 	if from >= m.State.Revision {
 		return u, nil
 	}
 	changes, size, ok := m.delta(from)
-	// Encoding a large state takes some 10 ms, which a small delta must not wait for.
-	if ok && size <= minMachineBytes*len(m.State.VMs) {
+	if ok && size <= packAbove {
 		u.Changes = changes
 		return u, nil
 	}
-	snapshot, err := m.snapshot()
-	if err != nil {
-		return update{}, fmt.Errorf("encode state: %w", err)
+	var err error
+	if u.Packed, err = m.snapshot(); err != nil || !ok {
+		return u, err
 	}
-	if ok && size <= len(snapshot) {
-		u.Changes = changes
-		return u, nil
+	delta, err := controlapi.UpdateContent{Changes: changes}.Pack()
+	if len(delta) <= len(u.Packed) {
+		u.Packed = delta
 	}
-	u.Snapshot = snapshot
-	return u, nil
+	return u, err
 }
 
 func (m *machine) delta(from uint64) (changes []intent.Change, size int, ok bool) {
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -52,6 +52,9 @@
 	t.Helper()
 	u, err := m.update(from)
 	require.NoError(t, err)
+	snapshot, err := m.snapshot()
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(u.Packed), len(snapshot))
 	data, err := json.Marshal(u)
 	require.NoError(t, err)
 	var decoded controlapi.IntentUpdate
@@ -71,7 +74,9 @@
 		"small delta":               {machines: 64, rules: 10, from: 5, changes: 6},
 		"nothing missed":            {machines: 64, rules: 10, from: 11},
 		"ahead of this replica":     {machines: 64, rules: 10, from: 15},
-		"delta larger than state":   {machines: 64, rules: 200, from: 1, snapshot: true},
+		"delta of one kilobyte":     {machines: 64, rules: 10, from: 2, changes: 9},
+		"packed delta":              {machines: 64, rules: 25, from: 3, changes: 23},
+		"delta larger than state":   {machines: 2, rules: 200, from: 1, snapshot: true},
 		"changes no longer kept":    {machines: 64, rules: 20, padding: recentBytes / 10, from: 8, snapshot: true},
 		"latest changes still kept": {machines: 64, rules: 20, padding: 2000, from: 20, changes: 1},
 		"from the start":            {machines: 1, rules: 100, from: 0, snapshot: true},
@@ -127,6 +132,8 @@
 		require.NoError(t, err)
 		require.Same(t, state, again)
 	}
+	var damaged controlapi.IntentUpdate
+	require.ErrorContains(t, json.Unmarshal([]byte(`{"packed":"H4sI"}`), &damaged), "unpack update")
 	_, err = updateOf(t, m, 4).Advance(&intent.State{Revision: 2})
 	var gap *intent.OrderError
 	require.ErrorAs(t, err, &gap)
--- a/internal/control/subscribe.go
+++ b/internal/control/subscribe.go
@@ -92,10 +92,10 @@
 	}
 }
 
-func (s *Server) countUpdate(u update) {
-	kind := "control.updates.delta"
-	if u.Snapshot != nil {
-		kind = "control.updates.snapshot"
+func (s *Server) countUpdate(u controlapi.PackedUpdate) {
+	kind := "control.updates.plain"
+	if len(u.Packed) > 0 {
+		kind = "control.updates.packed"
 	}
 	metrics.GetOrRegisterCounter(kind, s.registry).Inc(1)
 }
