--- a/internal/slopes/command.go
+++ b/internal/slopes/command.go
@@ -21,6 +21,8 @@
 		{"view", measureView},
 		{"ranking", measureRanking},
 		{"frame", measureFrames},
+		{"intent", measureIntent},
+		{"fanout-node", measureFanoutNode},
 		{"fanout", measureFanout},
 		{"membership", measureMembership},
 	}
--- a/internal/slopes/datapath.go
+++ b/internal/slopes/datapath.go
@@ -14,6 +14,7 @@
 	rankingDecisions = 2_000_000
 	frameRepeats     = 500_000
 	packetBytes      = 1300
+	gossipBytes      = 200
 	rounds           = 5
 )
 
@@ -62,11 +63,19 @@
 	return fmt.Sprintf("ranking of %d members has no first", e.Members)
 }
 
-// measureFrames measures the seal and the check of a full data packet.
+// measureFrames measures the seal and the check of a full data packet and of a
+// gossip message.
 func measureFrames(p *printer) error {
+	if err := measureFrame(p, "frame.packet", frame.KindPacket, packetBytes); err != nil {
+		return err
+	}
+	return measureFrame(p, "frame.gossip", frame.KindGossip, gossipBytes)
+}
+
+func measureFrame(p *printer, name string, kind frame.Kind, size int) error {
 	keys := &frame.Keys{Current: 1, Secrets: map[uint8]frame.Secret{1: {K0: p.seed, K1: 2}}}
-	body, buffer := make([]byte, packetBytes), make([]byte, 0, 2*packetBytes)
-	header := frame.Header{Kind: frame.KindPacket, Service: 7, Incarnation: 1 << 60, Epoch: 1000, Origin: 1 << 62}
+	body, buffer := make([]byte, size), make([]byte, 0, 2*packetBytes)
+	header := frame.Header{Kind: kind, Service: 7, Incarnation: 1 << 60, Epoch: 1000, Origin: 1 << 62}
 	var failure error
 	seal := fastest(frameRepeats, func() {
 		for range frameRepeats {
@@ -88,8 +97,8 @@
 	if failure != nil {
 		return failure
 	}
-	if err := p.add("frame.seal", packetBytes, seal, "ns"); err != nil {
+	if err := p.add(name+".seal", size, seal, "ns"); err != nil {
 		return err
 	}
-	return p.add("frame.open", packetBytes, open, "ns")
+	return p.add(name+".open", size, open, "ns")
 }
