--- a/internal/fanout/doc.go
+++ b/internal/fanout/doc.go
@@ -9,4 +9,9 @@
 // Revisions are applied in order only and never taken back. Acknowledgements
 // carry the lowest revision of a subtree, so that the leader knows which
 // revision is in force everywhere.
+//
+// This is close to the raft-rs RFC "Follower Replication", in which a leader
+// asks a follower in another data centre to forward log entries to its group.
+// Here committed revisions are forwarded, and any member can be a delegate.
+// docs/decisions/fanout.md has the comparison with direct sending.
 package fanout
