--- a/internal/agent/claiming.go
+++ b/internal/agent/claiming.go
@@ -97,7 +97,7 @@
 	case m.Holder != "" && m.Holder != c.cfg.VM:
 		// The opening is a copy of one that runs at another agent.
 		record := p.flow.record(m.HolderIncarnation)
-		c.peers.store(now, m.Holder, record)
+		c.peers.store(now, m.Holder, p.flow.hash, record)
 		out.add(Action{Kind: Release, Flow: m.Key, Ticket: p.ticket})
 	case m.Reason == denialFull:
 		ref := flowRef{hash: p.flow.hash, key: p.flow.key}
--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -183,7 +183,7 @@
 		answer.Reason = denialGrace
 		return answer
 	}
-	if reg, ok := c.peers.find(m.Key); ok && reg.holder != m.Holder && now.Before(reg.expires) {
+	if reg, ok := c.peers.find(flowRef{hash: hash, key: m.Key}); ok && reg.holder != m.Holder && now.Before(reg.expires) {
 		answer.Reason, answer.Holder, answer.HolderIncarnation = denialHeld, reg.holder, reg.record.Incarnation
 		return answer
 	}
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -19,8 +19,12 @@
 		c.handleRegister(now, svc, m.Register, out)
 	case m.Unregister != nil:
 		for _, key := range m.Unregister.Flows {
-			c.peers.remove(m.Unregister, key)
+			c.peers.remove(m.Unregister, flowRef{hash: c.cfg.Hasher.Hash(key), key: key})
 		}
+	case m.Renew != nil:
+		c.handleRenew(now, svc, m.Renew, out)
+	case m.RenewAnswer != nil:
+		c.handleRenewAnswer(svc, m.RenewAnswer, out)
 	case m.Superseded != nil:
 		c.handleSuperseded(m.Superseded)
 	case m.Recover != nil:
--- a/internal/agent/recovery_test.go
+++ b/internal/agent/recovery_test.go
@@ -157,7 +157,7 @@
 	x.message(keeper, old)
 	require.Equal(t, 1, x.drops[StaleIncarnation])
 	x.message(keeper, &peer.Message{Unregister: &peer.Unregister{Holder: n.id, Incarnation: 1, Flows: []flow.Key{c.key}}})
-	_, kept := keeper.core.peers.find(c.key)
+	_, kept := keeper.core.peers.find(flowRef{hash: testHasher.Hash(c.key), key: c.key})
 	require.True(t, kept)
 
 	x.restart(i, false)
@@ -267,8 +267,46 @@
 		}
 		k := c.holder().core.keepers(x.svc(), testHasher.Hash(c.key))
 		for _, i := range k.members[:k.count] {
-			_, kept := x.node(i).core.peers.find(c.key)
+			_, kept := x.node(i).core.peers.find(flowRef{hash: testHasher.Hash(c.key), key: c.key})
 			require.True(t, kept)
 		}
 	}
 }
+
+// Guards against renewals that cost more than the control traffic of a node
+// (3 KB/s), that let registrations run out, or that leave a lost one missing.
+func TestRenewal(t *testing.T) {
+	s := longSetup()
+	s.nodes = 4
+	x := newExchange(t, s)
+	callers := x.fill(0, 200)
+	x.run(5 * time.Second)
+	lost := x.node(1).core
+	for i := range lost.peers.shards {
+		if i%4 == 0 {
+			lost.peers.shards[i].flows = map[flow.Key]registration{}
+		}
+	}
+	sent := 0
+	x.fault = func(m *peer.Message) []time.Duration {
+		if m.Load == nil {
+			body, err := peer.Encode(m)
+			require.NoError(t, err)
+			sent += len(body)
+		}
+		return []time.Duration{linkDelay}
+	}
+	x.run(2 * refreshInterval)
+	sent = 0
+	x.run(5 * time.Minute)
+	require.Less(t, sent/300/len(x.nodes), 3000, "bytes a second and node")
+	for _, c := range callers {
+		k := c.holder().core.keepers(x.svc(), testHasher.Hash(c.key))
+		for _, i := range k.members[:k.count] {
+			reg, kept := x.node(i).core.peers.find(flowRef{hash: testHasher.Hash(c.key), key: c.key})
+			require.True(t, kept)
+			require.Equal(t, c.holder().id, reg.holder)
+		}
+	}
+	t.Logf("renewal of %d flows: %d B/s and node", len(callers)/len(x.nodes), sent/300/len(x.nodes))
+}
--- a/internal/agent/registering.go
+++ b/internal/agent/registering.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// refreshInterval is the time in which a holder renews all registrations,
-	// one shard after another.
-	refreshInterval = 30 * time.Second
 	// moveInterval is the time in which registrations follow a change of view.
 	moveInterval = 800 * time.Millisecond
 	// unregisterInterval and confirmInterval collect flows into one message.
@@ -35,9 +32,10 @@
 	unregistered time.Time
 	confirmedAt  time.Time
 
-	// renewed and moved count the shards that were visited.
-	renewed, moved float64
-	last           time.Time
+	// moved counts the shards that may be visited for a change of view.
+	moved float64
+	last  time.Time
+	renewals
 }
 
 func (o *outbox) ended(ref flowRef) {
@@ -67,9 +65,9 @@
 	return ended, confirmed
 }
 
-// visits returns how many shards are due for renewal, from which one on, and
-// how many for a change of view.
-func (o *outbox) visits(now time.Time) (first, renew, move int) {
+// visits returns how many shards are due for a change of view, and which ones
+// for renewal: from first to end.
+func (o *outbox) visits(now time.Time) (move, first, end int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.last.IsZero() {
@@ -77,12 +75,11 @@
 	}
 	elapsed := now.Sub(o.last)
 	o.last = now
-	before := int(o.renewed)
-	o.renewed += min(float64(elapsed)/float64(refreshInterval), 1) * flowShards
 	o.moved += min(float64(elapsed)/float64(moveInterval), 1) * flowShards
 	move = int(o.moved)
 	o.moved -= float64(move)
-	return before % flowShards, int(o.renewed) - before, move
+	first, end = o.due(elapsed)
+	return move, first, end
 }
 
 // keeperSet holds the members that keep the registration of a flow.
@@ -156,12 +153,12 @@
 	return cmp.Or(cmp.Compare(a.OpenedAt, b.OpenedAt), a.Key.Caller.Compare(b.Key.Caller))
 }
 
-// register tells the keepers what is due: flows that were confirmed, flows
-// whose keepers changed with the view, and the shards whose renewal is due.
+// register tells the keepers what is due: flows that have ended or were
+// confirmed, flows whose keepers changed with the view, and renewals.
 func (c *Core) register(now time.Time, svc *view.Service, out *Actions) {
 	ended, confirmed := c.outbox.takeDue(now)
-	first, renew, move := c.outbox.visits(now)
-	if len(ended)+len(confirmed)+renew+move == 0 {
+	move, first, end := c.outbox.visits(now)
+	if len(ended)+len(confirmed)+move == 0 && first == end {
 		return
 	}
 	c.unregister(now, svc, ended, out)
@@ -169,19 +166,17 @@
 	for _, f := range confirmed {
 		c.batchConfirmed(svc, f, b)
 	}
-	for i := range renew {
-		c.visit(&c.flows.shards[(first+i)%flowShards], svc, b, true)
-	}
 	for i := range c.flows.shards {
 		if move == 0 {
 			break
 		}
 		if s := &c.flows.shards[i]; c.outdated(s, svc) {
-			c.visit(s, svc, b, false)
+			c.visit(s, svc, b)
 			move--
 		}
 	}
 	c.sendBatches(svc, b, out)
+	c.renew(now, svc, first, end, out)
 }
 
 func (c *Core) outdated(s *flowShard, svc *view.Service) bool {
@@ -190,9 +185,8 @@
 	return s.announced == nil || !s.announced.ChangedAt.Equal(svc.ChangedAt)
 }
 
-// visit collects the flows of a shard: all of them for a renewal, otherwise
-// those with a keeper that does not know them.
-func (c *Core) visit(s *flowShard, svc *view.Service, b batches, all bool) {
+// visit collects the flows of a shard with a keeper that does not know them.
+func (c *Core) visit(s *flowShard, svc *view.Service, b batches) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	former := s.announced
@@ -200,7 +194,7 @@
 	for _, f := range s.flows {
 		k := c.keepers(svc, f.hash)
 		for _, member := range k.members[:k.count] {
-			if all || !c.knew(former, f.hash, &svc.Members[member]) {
+			if !c.knew(former, f.hash, &svc.Members[member]) {
 				b[member] = append(b[member], f.record(c.cfg.Incarnation))
 			}
 		}
@@ -269,7 +263,7 @@
 			out.drop(WrongService)
 			continue
 		}
-		result, loser := c.peers.store(now, r.Holder, *record)
+		result, loser := c.peers.store(now, r.Holder, c.cfg.Hasher.Hash(record.Key), *record)
 		if result == storedFull {
 			out.drop(RegistryFull)
 			c.events.record(now, event.Ignored, record.Key, string(RegistryFull), c.revision())
@@ -283,7 +277,7 @@
 // sendSuperseded tells a holder that the caller uses the key elsewhere.
 func (c *Core) sendSuperseded(svc *view.Service, loser vm.ID, key flow.Key, out *Actions) {
 	i := svc.Index(loser)
-	kept, ok := c.peers.find(key)
+	kept, ok := c.peers.find(flowRef{hash: c.cfg.Hasher.Hash(key), key: key})
 	if i < 0 || !ok || !confirmed(&kept.record) {
 		return
 	}
--- a/internal/agent/registry.go
+++ b/internal/agent/registry.go
@@ -11,7 +11,9 @@
 )
 
 const (
-	registryShards = 64
+	// registryShards equals the number of shards of the flow table, so that a
+	// bucket of a renewal is one shard at the holder and at the keeper.
+	registryShards = flowShards
 	// registrationLifetime lets two renewals get lost.
 	registrationLifetime = 100 * time.Second
 	// sweepInterval is the time in which all shards are searched for
@@ -22,6 +24,7 @@
 // registration is a flow of another agent that is remembered here.
 type registration struct {
 	holder  vm.ID
+	hash    uint64
 	record  peer.FlowRecord
 	expires time.Time
 }
@@ -51,16 +54,13 @@
 	return r
 }
 
-func (r *registry) shard(key flow.Key) *registryShard {
-	last := key.Caller.Addr().As16()[15]
-	return &r.shards[(key.Caller.Port()^uint16(last))%registryShards]
-}
+func (r *registry) shard(hash uint64) *registryShard { return &r.shards[hash%registryShards] }
 
-func (r *registry) find(key flow.Key) (registration, bool) {
-	s := r.shard(key)
+func (r *registry) find(ref flowRef) (registration, bool) {
+	s := r.shard(ref.hash)
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	reg, ok := s.flows[key]
+	reg, ok := s.flows[ref.key]
 	return reg, ok
 }
 
@@ -89,8 +89,8 @@
 // store remembers a flow. Of two holders of one key the one whose flow the
 // caller has confirmed is kept, then the one with the later opening: the
 // caller has given up the other. The loser, if any, is returned.
-func (r *registry) store(now time.Time, holder vm.ID, record peer.FlowRecord) (result stored, loser vm.ID) {
-	s := r.shard(record.Key)
+func (r *registry) store(now time.Time, holder vm.ID, hash uint64, record peer.FlowRecord) (result stored, loser vm.ID) {
+	s := r.shard(hash)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known, ok := s.flows[record.Key]
@@ -106,7 +106,7 @@
 	if !ok && len(s.flows) >= r.capacity {
 		return storedFull, ""
 	}
-	s.flows[record.Key] = registration{holder: holder, record: record, expires: now.Add(registrationLifetime)}
+	s.flows[record.Key] = registration{holder: holder, hash: hash, record: record, expires: now.Add(registrationLifetime)}
 	return storedNew, loser
 }
 
@@ -121,13 +121,13 @@
 
 // remove forgets a flow that its holder has ended. A late message about an
 // earlier flow with the key does not remove a newer one.
-func (r *registry) remove(u *peer.Unregister, key flow.Key) {
-	s := r.shard(key)
+func (r *registry) remove(u *peer.Unregister, ref flowRef) {
+	s := r.shard(ref.hash)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known, ok := s.flows[key]
+	known, ok := s.flows[ref.key]
 	if ok && known.holder == u.Holder && known.record.Incarnation <= u.Incarnation && known.record.OpenedAt <= u.OpenedBefore {
-		delete(s.flows, key)
+		delete(s.flows, ref.key)
 	}
 }
 
--- a/internal/agent/walk.go
+++ b/internal/agent/walk.go
@@ -25,7 +25,7 @@
 // forwardRegistered sends a packet to the holder that has registered the flow
 // here, and hints the balancer. It reports whether there is one.
 func (c *Core) forwardRegistered(a *arrival, out *Actions) bool {
-	reg, ok := c.peers.find(a.key)
+	reg, ok := c.peers.find(flowRef{hash: a.hash, key: a.key})
 	if !ok || a.h.Hops >= frame.MaxHops {
 		return false
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -53,6 +53,38 @@
 	OpenedBefore int64 `cbor:"4,keyasint,omitempty"`
 }
 
+// MaxBucketsPerMessage bounds the buckets in one message.
+const MaxBucketsPerMessage = 64
+
+// Renew asks the receiver to keep the records of the sender for longer. Each
+// bucket sums up the flows that the receiver should know.
+type Renew struct {
+	Holder      vm.ID          `cbor:"1,keyasint"`
+	Incarnation vm.Incarnation `cbor:"2,keyasint"`
+	Buckets     []Bucket       `cbor:"3,keyasint"`
+	// Before is a Unix time in nanoseconds; flows opened later are left out.
+	Before int64 `cbor:"4,keyasint"`
+}
+
+// Bucket sums up the flows whose keyed hash, modulo MaxBucketsPerMessage, is
+// Number.
+type Bucket struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint8
+	Count  uint32
+	// Digest is the exclusive or over the flows of the hash of each flow mixed
+	// with the time of its opening.
+	Digest uint64
+}
+
+// RenewAnswer names the buckets whose flows the keeper wants to be registered
+// again, because its own sum differs.
+type RenewAnswer struct {
+	From        vm.ID          `cbor:"1,keyasint"`
+	Incarnation vm.Incarnation `cbor:"2,keyasint"`
+	Wanted      []uint8        `cbor:"3,keyasint"`
+}
+
 // Superseded tells a holder that the caller has opened a newer flow with the
 // same key at another agent.
 type Superseded struct {
@@ -144,6 +176,9 @@
 	Claim      *Claim      `cbor:"7,keyasint,omitempty"`
 	Claimed    *Claimed    `cbor:"8,keyasint,omitempty"`
 	Superseded *Superseded `cbor:"9,keyasint,omitempty"`
+
+	Renew       *Renew       `cbor:"10,keyasint,omitempty"`
+	RenewAnswer *RenewAnswer `cbor:"11,keyasint,omitempty"`
 }
 
 // DecodeError reports a message that is not valid.
@@ -188,7 +223,7 @@
 	for _, set := range []bool{
 		m.Register != nil, m.Unregister != nil, m.Recover != nil, m.Recovered != nil,
 		m.Load != nil, m.Hint != nil, m.Claim != nil, m.Claimed != nil,
-		m.Superseded != nil,
+		m.Superseded != nil, m.Renew != nil, m.RenewAnswer != nil,
 	} {
 		if set {
 			count++
