--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -71,13 +71,17 @@
 	Contract service.Contract
 	Traffic  bool
 	Members  []Upstream
+	// Registered is how many upstreams the inventory has for the service. More
+	// than Members means that some are not known or not running.
+	Registered int
 	// Hashes holds the member hashes in the order of Members.
 	Hashes []uint64
 	// Unreachable has a bit for each member that gets no packets.
 	Unreachable uint64
 	// ChangedAt is when the set of members, or a status, last changed here.
-	ChangedAt time.Time
-	placers   []int
+	ChangedAt   time.Time
+	placers     []int
+	placeAtHome bool
 }
 
 // membersPerPlacer bounds the members that one placer serves.
@@ -107,12 +111,24 @@
 		origins:    map[uint64]netip.AddrPort{},
 	}
 	upstreams := v.admit(state, members)
+	registered := countUpstreams(state)
 	for i := range state.Services {
-		v.addService(&state.Services[i], upstreams[state.Services[i].Name], previous, now)
+		name := state.Services[i].Name
+		v.addService(&state.Services[i], upstreams[name], registered[name], previous, now)
 	}
 	return v
 }
 
+func countUpstreams(state *intent.State) map[service.Name]int {
+	count := map[service.Name]int{}
+	for i := range state.VMs {
+		if state.VMs[i].Role == vm.RoleUpstream {
+			count[state.VMs[i].Service]++
+		}
+	}
+	return count
+}
+
 // admit checks members against the inventory and groups upstreams by service.
 func (v *View) admit(state *intent.State, members []Member) map[service.Name][]Upstream {
 	machines := make(map[vm.ID]intent.VM, len(state.VMs))
@@ -154,7 +170,7 @@
 	return u
 }
 
-func (v *View) addService(s *intent.Service, members []Upstream, previous *View, now time.Time) {
+func (v *View) addService(s *intent.Service, members []Upstream, registered int, previous *View, now time.Time) {
 	slices.SortFunc(members, func(a, b Upstream) int { return cmp.Compare(a.VM, b.VM) })
 	if len(members) > ranking.MaxMembers {
 		members = members[:ranking.MaxMembers]
@@ -169,6 +185,7 @@
 			svc.Unreachable |= 1 << uint(i)
 		}
 	}
+	svc.Registered = registered
 	svc.placers = rankPlacers(&svc)
 	if before := previous.ServiceByID(s.ID); before != nil && sameMembers(before.Members, members) {
 		svc.ChangedAt = before.ChangedAt
@@ -188,13 +205,7 @@
 // rankPlacers returns the member indexes that place openings.
 func rankPlacers(s *Service) []int {
 	count := (len(s.Members) + membersPerPlacer - 1) / membersPerPlacer
-	skip := s.Unreachable
-	for i := range s.Members {
-		// A starting or suspected member must not be the one that places.
-		if s.Members[i].Status != Ready && s.Members[i].Status != Leaving {
-			skip |= 1 << uint(i)
-		}
-	}
+	skip := s.notPlacing()
 	var placers []int
 	for len(placers) < count {
 		i := ranking.FirstEqual(uint64(s.ID), s.Hashes, skip)
@@ -274,8 +285,32 @@
 	return ranking.FirstEqual(flow, s.Hashes, s.Unreachable|tried)
 }
 
+// PlaceAtHome makes the home of each flow place its opening. It is the variant
+// against which a placer per service is measured, and is to be called before the
+// view is shared.
+func (v *View) PlaceAtHome() {
+	for i := range v.Services {
+		v.Services[i].placeAtHome = true
+	}
+}
+
+// notPlacing has a bit for each member that may not place openings.
+func (s *Service) notPlacing() uint64 {
+	skip := s.Unreachable
+	for i := range s.Members {
+		// A starting or suspected member must not be the one that places.
+		if s.Members[i].Status != Ready && s.Members[i].Status != Leaving {
+			skip |= 1 << uint(i)
+		}
+	}
+	return skip
+}
+
 // Placer returns the member that places the openings of a flow, or -1.
 func (s *Service) Placer(flow uint64) int {
+	if s.placeAtHome {
+		return ranking.FirstEqual(flow, s.Hashes, s.notPlacing())
+	}
 	if len(s.placers) == 0 {
 		return -1
 	}
@@ -283,7 +318,12 @@
 }
 
 // IsPlacer reports whether a member places openings.
-func (s *Service) IsPlacer(member int) bool { return slices.Contains(s.placers, member) }
+func (s *Service) IsPlacer(member int) bool {
+	if s.placeAtHome {
+		return s.notPlacing()&(1<<uint(member)) == 0
+	}
+	return slices.Contains(s.placers, member)
+}
 
 // Tried returns a bit for each member whose hash is in a list of low hash bits.
 func (s *Service) Tried(list []uint32) uint64 {
