--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -1,9 +1,12 @@
 package balancer
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/frame"
 	"bramleyhold.example/bramleyhold/internal/packet"
@@ -20,6 +23,12 @@
 	Hasher flow.Hasher
 	// HintCapacity bounds the hints that are kept.
 	HintCapacity int
+	// OpeningsPerSecond bounds what this balancer passes on of openings; 0 sets
+	// no bound.
+	OpeningsPerSecond int
+	// TraceShare of the openings are traced, chosen by Random.
+	TraceShare float64
+	Random     *rand.Rand
 }
 
 // Verdict says what to do with a packet.
@@ -44,6 +53,8 @@
 	UnknownService Reason = "unknown_service"
 	TrafficOff     Reason = "traffic_off"
 	NoUpstream     Reason = "no_upstream"
+	// Overloaded: the balancer sheds an opening to keep room for known flows.
+	Overloaded Reason = "overloaded"
 )
 
 // Decision is the answer to one packet. Header is complete except for the
@@ -54,6 +65,8 @@
 	Service *view.Service
 	To      *view.Upstream
 	Header  frame.Header
+	// Sampled: the opening is to be traced.
+	Sampled bool
 }
 
 // Core is safe for concurrent use.
@@ -62,11 +75,22 @@
 	origin uint64
 	view   atomic.Pointer[view.View]
 	hints  *hintCache
+
+	unanswered *unanswered
+	openings   *rate.Limiter
+	shedding   atomic.Bool
+	sampler    sampler
+	// drainedAt and lastPacket are Unix times in nanoseconds.
+	drainedAt, lastPacket atomic.Int64
 }
 
 // New returns a core without a view, which drops every packet.
 func New(cfg Config) *Core {
-	return &Core{cfg: cfg, origin: ranking.MemberHash(cfg.VM), hints: newHintCache(cfg.HintCapacity)}
+	return &Core{
+		cfg: cfg, origin: ranking.MemberHash(cfg.VM), hints: newHintCache(cfg.HintCapacity),
+		unanswered: &unanswered{}, openings: newOpeningLimit(cfg.OpeningsPerSecond),
+		sampler: sampler{random: cfg.Random, share: cfg.TraceShare},
+	}
 }
 
 // SetView replaces the view. Views of older revisions are ignored.
@@ -86,8 +110,11 @@
 func (c *Core) View() *view.View { return c.view.Load() }
 
 // Decide chooses what to do with a packet of a caller.
-func (c *Core) Decide(_ time.Time, m *packet.Meta, d *Decision) {
+func (c *Core) Decide(now time.Time, m *packet.Meta, d *Decision) {
 	*d = Decision{Verdict: Drop}
+	if c.State() == Draining {
+		c.lastPacket.Store(now.UnixNano())
+	}
 	v := c.view.Load()
 	if v == nil {
 		d.Reason = NoView
@@ -98,36 +125,46 @@
 		d.Reason = UnknownService
 		return
 	}
-	c.route(v, m, d)
+	c.route(now, v, m, d)
 }
 
-func (c *Core) route(v *view.View, m *packet.Meta, d *Decision) {
+func (c *Core) route(now time.Time, v *view.View, m *packet.Meta, d *Decision) {
 	hash := c.cfg.Hasher.Hash(m.CallerKey())
 	d.Header = frame.Header{Kind: frame.KindPacket, Service: uint32(d.Service.ID), Epoch: v.Revision, Origin: c.origin}
+	syn := m.Opening() && m.Protocol == packet.ProtocolTCP
 	if m.Opening() {
 		d.Header.Flags = frame.FlagOpening
-		if m.Protocol == packet.ProtocolTCP && !d.Service.Traffic {
-			d.Verdict, d.Reason = Reset, TrafficOff
-			return
-		}
 	}
-	target := c.target(d, m, hash)
+	if syn && !d.Service.Traffic {
+		d.Verdict, d.Reason = Reset, TrafficOff
+		return
+	}
+	target := c.target(now, d, m, hash)
 	if target < 0 {
 		c.noUpstream(m, d)
 		return
 	}
+	if sheddable(m, d.Header.Flags.Has(frame.FlagHinted)) && c.overloaded(now) {
+		d.Reason = Overloaded
+		return
+	}
+	d.Sampled = syn && c.sampler.sample()
 	d.Verdict, d.To = Send, &d.Service.Members[target]
 }
 
 // target returns the member that gets the packet, or -1. A SYN goes to the
-// placer even if a hint exists, because the caller may be reusing its port.
-func (c *Core) target(d *Decision, m *packet.Meta, hash uint64) int {
+// placer even if a hint exists, because the caller may be reusing its port. A
+// datagram without a hint may be an opening, which only its home can tell.
+func (c *Core) target(now time.Time, d *Decision, m *packet.Meta, hash uint64) int {
 	if m.Protocol == packet.ProtocolTCP && m.Opening() {
 		return d.Service.Placer(hash)
 	}
 	if hinted := c.hinted(d.Service, hash, &d.Header); hinted >= 0 {
 		return hinted
 	}
+	if m.Protocol == packet.ProtocolTCP {
+		return c.unhinted(now, d.Service, hash)
+	}
 	return d.Service.Home(hash)
 }
 
--- a/internal/balancer/hints.go
+++ b/internal/balancer/hints.go
@@ -50,6 +50,11 @@
 	s := c.shard(hash)
 	s.mu.RLock()
 	defer s.mu.RUnlock()
+	return s.find(hash)
+}
+
+// find looks a hint up. The lock is held.
+func (s *hintShard) find(hash uint64) (hint, bool) {
 	if h, ok := s.young[hash]; ok {
 		return h, true
 	}
@@ -57,10 +62,15 @@
 	return h, ok
 }
 
+// put keeps a hint. A delayed hint of an earlier life of the same holder does
+// not replace the current one.
 func (c *hintCache) put(hash uint64, h hint) {
 	s := c.shard(hash)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if known, ok := s.find(hash); ok && known.holder == h.holder && known.incarnation > h.incarnation {
+		return
+	}
 	if len(s.young) >= s.capacity {
 		s.old, s.young = s.young, make(map[uint64]hint, s.capacity)
 	}
--- a/internal/ranking/ranking.go
+++ b/internal/ranking/ranking.go
@@ -58,6 +58,9 @@
 
 // FirstEqual is First for members of equal weight.
 func FirstEqual(flow uint64, hashes []uint64, skip uint64) int {
+	if skip == 0 && len(hashes) > 0 {
+		return firstOfAll(flow, hashes)
+	}
 	best, bestHash := -1, uint64(0)
 	for i, member := range hashes {
 		if skip&(1<<uint(i)) != 0 {
@@ -70,3 +73,15 @@
 	}
 	return best
 }
+
+// firstOfAll is FirstEqual without members to skip, the case of nearly every
+// packet. Its loop has no branch but the comparison of hashes.
+func firstOfAll(flow uint64, hashes []uint64) int {
+	best, bestHash := 0, mix(flow, hashes[0])
+	for i := 1; i < len(hashes); i++ {
+		if h := mix(flow, hashes[i]); h > bestHash {
+			best, bestHash = i, h
+		}
+	}
+	return best
+}
