--- a/cmd/bramley-balancer/main.go
+++ b/cmd/bramley-balancer/main.go
@@ -7,8 +7,6 @@
 	"io"
 	"net/netip"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/dig"
@@ -46,7 +44,7 @@
 }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := settings.SignalContext(context.Background())
 	code := run(ctx, os.Args, os.Stdout, os.Stderr)
 	stop()
 	os.Exit(code)
--- a/cmd/bramley-control/main.go
+++ b/cmd/bramley-control/main.go
@@ -5,8 +5,6 @@
 	"context"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -14,7 +12,7 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := settings.SignalContext(context.Background())
 	code := run(ctx, os.Args, os.Stdout, os.Stderr)
 	stop()
 	os.Exit(code)
--- a/cmd/bramley-control/wire.go
+++ b/cmd/bramley-control/wire.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
@@ -48,7 +49,8 @@
 	if err != nil {
 		return err
 	}
-	err = container.Invoke(func(log *logrus.Entry, server *control.Server, observer *node.Observer, http *telemetry.Server) error {
+	err = container.Invoke(func(log *logrus.Entry, server *control.Server, observer *node.Observer, http *telemetry.Server, registry metrics.Registry, secrets *nodecmd.Secrets) error {
+		nodecmd.ReportCertificate(log, registry, secrets.Server, time.Now())
 		return runServers(ctx, log, server, observer, http)
 	})
 	return dig.RootCause(err)
--- a/cmd/bramley-dev/main.go
+++ b/cmd/bramley-dev/main.go
@@ -6,8 +6,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -15,14 +13,15 @@
 	"bramleyhold.example/bramleyhold/internal/measure"
 	"bramleyhold.example/bramleyhold/internal/settings"
 	"bramleyhold.example/bramleyhold/internal/slopes"
+	"bramleyhold.example/bramleyhold/internal/standin"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := settings.SignalContext(context.Background())
 	root := &cli.Command{
 		Name:     "bramley-dev",
 		Usage:    "run and measure all roles of a fleet on one machine",
-		Commands: []*cli.Command{fleet.Command(), measure.Command(), slopes.Command()},
+		Commands: []*cli.Command{fleet.Command(), measure.Command(), slopes.Command(), standin.Command()},
 	}
 	err := root.Run(ctx, os.Args)
 	stop()
--- a/internal/node/base.go
+++ b/internal/node/base.go
@@ -70,6 +70,7 @@
 		b.admin, err = rpc.Listen(address.String(), b.cfg.ServerTLS, b.methods.Handler(), b.rejected)
 		if err == nil {
 			b.transport, b.cfg.Address = t, address
+			b.cfg.Log.WithField("address", address.String()).Info("listening")
 			return nil
 		}
 		failures = errors.Join(failures, err, t.link.Close())
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"bramleyhold.example/bramleyhold/internal/controlapi"
 	"bramleyhold.example/bramleyhold/internal/event"
 	"bramleyhold.example/bramleyhold/internal/intent"
@@ -100,6 +102,7 @@
 	if err := conn.Call(call, controlapi.IntentSubscribe, request, &first); err != nil {
 		return fmt.Errorf("subscribe: %w", err)
 	}
+	f.cfg.Log.WithField("control", address).Info("subscribed to the intent")
 	if err := f.apply(first); err != nil {
 		return err
 	}
@@ -153,6 +156,7 @@
 			f.cfg.Log.WithError(err).Error("the applied intent could not be saved")
 		}
 	}
+	f.cfg.Log.WithFields(logrus.Fields{"revision": next.Revision, "from_revision": u.FromRevision}).Info("intent applied")
 	f.cfg.Events.Add(event.Event{At: time.Now(), Kind: event.Applied, Object: "intent", Reason: fmt.Sprintf("update from revision %d", u.FromRevision), Revision: next.Revision})
 	f.changed()
 	return nil
--- a/internal/node/handoff.go
+++ b/internal/node/handoff.go
@@ -7,6 +7,8 @@
 	"path/filepath"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"bramleyhold.example/bramleyhold/internal/agent"
 	"bramleyhold.example/bramleyhold/internal/event"
 	"bramleyhold.example/bramleyhold/internal/view"
@@ -28,6 +30,8 @@
 	}
 	if !a.ready && !a.core.Recovering() {
 		a.ready = true
+		established, halfOpen := a.core.Flows()
+		a.cfg.Log.WithFields(logrus.Fields{"flows": established, "half_open": halfOpen}).Info("ready")
 		a.liveness.announce(view.Ready)
 	}
 }
--- a/internal/node/liveness.go
+++ b/internal/node/liveness.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"bramleyhold.example/bramleyhold/internal/event"
 	"bramleyhold.example/bramleyhold/internal/frame"
 	"bramleyhold.example/bramleyhold/internal/membership"
@@ -61,13 +63,31 @@
 		l.transport.send(frame.KindGossip, s.To, s.Body)
 	}
 	for _, e := range output.Events {
-		l.cfg.Events.Add(event.Event{At: time.Now(), Kind: event.Kind("member_" + e.Kind), Object: string(e.VM), Reason: e.Reason})
+		l.report(&e)
 	}
 	if changed {
 		l.changed()
 	}
 }
 
+// report records a change of the membership. The log gets only what operators
+// look into; joins and renewals of a large fleet would fill it.
+func (l *liveness) report(e *membership.Event) {
+	l.cfg.Events.Add(event.Event{At: time.Now(), Kind: event.Kind("member_" + e.Kind), Object: string(e.VM), Reason: e.Reason})
+	level := logrus.DebugLevel
+	switch e.Kind {
+	case membership.Suspected, membership.Failed, membership.ZoneLost:
+		level = logrus.WarnLevel
+	case membership.Superseded:
+		level = logrus.ErrorLevel
+	case membership.Refuted, membership.ZoneReturned, membership.Left:
+		level = logrus.InfoLevel
+	}
+	l.cfg.Log.WithFields(logrus.Fields{
+		"change": string(e.Kind), "member": string(e.VM), "incarnation": uint64(e.Incarnation), "zone": e.Zone.String(), "reason": e.Reason,
+	}).Log(level, "membership changed")
+}
+
 func (l *liveness) handle(from netip.AddrPort, body []byte) {
 	l.do(func(now time.Time) membership.Output { return l.node.Handle(now, from, body) })
 }
--- /dev/null
+++ b/internal/nodecmd/certificate.go
@@ -0,0 +1,35 @@
+package nodecmd
+
+import (
+	"crypto/tls"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+)
+
+// RenewBefore is how long before its end a certificate is reported as due.
+// Thirty days leave time for one round of planned restarts.
+const RenewBefore = 30 * 24 * time.Hour
+
+// certificateMetric is the end of the certificate as Unix time in seconds.
+const certificateMetric = "certificate.not_after_seconds"
+
+// ReportCertificate logs when the certificate of this process ends and sets
+// the metric of it. Connections of other processes fail after that.
+func ReportCertificate(log *logrus.Entry, registry metrics.Registry, cfg *tls.Config, now time.Time) {
+	if cfg == nil || len(cfg.Certificates) == 0 || cfg.Certificates[0].Leaf == nil {
+		return
+	}
+	end := cfg.Certificates[0].Leaf.NotAfter
+	metrics.GetOrRegisterGauge(certificateMetric, registry).Update(end.Unix())
+	entry := log.WithField("not_after", end.UTC().Format(time.RFC3339))
+	switch {
+	case now.After(end):
+		entry.Error("the certificate has expired: issue it again and restart this process")
+	case end.Sub(now) < RenewBefore:
+		entry.Warn("the certificate expires soon: issue it again and restart this process")
+	default:
+		entry.Info("certificate loaded")
+	}
+}
--- /dev/null
+++ b/internal/nodecmd/certificate_test.go
@@ -0,0 +1,40 @@
+package nodecmd
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"bramleyhold.example/bramleyhold/internal/telemetry"
+)
+
+// Guards against a certificate that expires without a notice in the log and
+// without a metric that an alarm can use.
+func TestReportCertificate(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	cases := map[string]struct {
+		left  time.Duration
+		level string
+	}{
+		"fresh":   {left: RenewBefore + time.Hour, level: "info"},
+		"due":     {left: RenewBefore - time.Hour, level: "warning"},
+		"expired": {left: -time.Second, level: "error"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			log, err := telemetry.NewLogger(&out, "bramley-agent", "orders-1", "info")
+			require.NoError(t, err)
+			registry := metrics.NewRegistry()
+			leaf := &x509.Certificate{NotAfter: now.Add(c.left)}
+			ReportCertificate(log, registry, &tls.Config{Certificates: []tls.Certificate{{Leaf: leaf}}}, now)
+			require.Contains(t, out.String(), `"level":"`+c.level+`"`)
+			require.Equal(t, leaf.NotAfter.Unix(), metrics.GetOrRegisterGauge(certificateMetric, registry).Value())
+		})
+	}
+}
--- a/internal/nodecmd/wire.go
+++ b/internal/nodecmd/wire.go
@@ -96,7 +96,8 @@
 
 // Run opens the addresses of a program and serves until the context ends.
 func Run(ctx context.Context, container *dig.Container, p *settings.Process) error {
-	err := container.Invoke(func(log *logrus.Entry, runner Runner, registry metrics.Registry, traces *Traces) error {
+	err := container.Invoke(func(log *logrus.Entry, runner Runner, registry metrics.Registry, traces *Traces, secrets *Secrets) error {
+		ReportCertificate(log, registry, secrets.Server, time.Now())
 		http, err := telemetry.Listen(p.HTTPAddress, telemetry.Handler(registry, runner.Health))
 		if err != nil {
 			return err
--- a/internal/settings/groups.go
+++ b/internal/settings/groups.go
@@ -9,7 +9,7 @@
 // Process holds the settings that every long-running program has.
 type Process struct {
 	VM          vm.ID   `flag:"vm" validate:"required"`
-	Zone        zone.ID `flag:"zone"`
+	Zone        zone.ID `flag:"zone" validate:"required"`
 	DataFolder  string  `flag:"data-folder"`
 	HTTPAddress string  `flag:"http-address" validate:"omitempty,listen"`
 	LogLevel    string  `flag:"log-level" validate:"oneof=debug info warning error"`
--- a/internal/settings/set_test.go
+++ b/internal/settings/set_test.go
@@ -33,9 +33,9 @@
 		code int
 		want []string
 	}{
-		"valid": {args: []string{"--vm", "c1", "--peers", "a:1,b:2"}, code: settings.ExitOK},
+		"valid": {args: []string{"--vm", "c1", "--zone", "local/a", "--peers", "a:1,b:2"}, code: settings.ExitOK},
 		"valid from the environment": {
-			args: nil, env: map[string]string{"BRAMLEY_VM": "c1"}, code: settings.ExitOK,
+			args: nil, env: map[string]string{"BRAMLEY_VM": "c1", "BRAMLEY_ZONE": "local/a"}, code: settings.ExitOK,
 		},
 		"all invalid at once": {
 			args: []string{"--interval", "fast", "--count", "x", "--zone", "nowhere", "--peers", "a,b"},
@@ -46,8 +46,12 @@
 				"--vm field BRAMLEY_VM: error: is required",
 			},
 		},
+		"no zone": {
+			args: []string{"--vm", "c1"}, code: settings.ExitSettings,
+			want: []string{"--zone field BRAMLEY_ZONE: error: is required"},
+		},
 		"unknown flag":        {args: []string{"--nothing"}, code: settings.ExitSettings, want: []string{"nothing"}},
-		"unexpected argument": {args: []string{"--vm", "c1", "extra"}, code: settings.ExitSettings, want: []string{"extra"}},
+		"unexpected argument": {args: []string{"--vm", "c1", "--zone", "local/a", "extra"}, code: settings.ExitSettings, want: []string{"extra"}},
 		"TLS incomplete": {
 			args: []string{"--vm", "c1", "--tls-ca", "set_test.go"}, code: settings.ExitSettings,
 			want: []string{"--tls-certificate", "--tls-key"},
--- /dev/null
+++ b/internal/settings/signal.go
@@ -0,0 +1,17 @@
+package settings
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// SignalContext returns a context that ends with the first SIGTERM or
+// interrupt, which starts a graceful stop. A second signal ends the program at
+// once: the default action of the signal is in force again.
+func SignalContext(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(parent, syscall.SIGTERM, os.Interrupt)
+	context.AfterFunc(ctx, stop)
+	return ctx, stop
+}
