Forget retired VMs and keep removed services for their flows

Change: kind "forget", proposed by the control leader on the evidence of the membership (internal/lifecycle), at most one each 5 minutes. Removed services stay retired until their last upstream is forgotten. A new endpoint, and the endpoint of a retired service, are rejected while upstreams stay. Retired upstreams count against the 64 of a service.

Checks: go test -race of intent, lifecycle, control and ctl passes.

Conclusion: the intent is bounded by the inventory and the VMs retired within about an hour, and a removal cuts no established flow.

--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -61,6 +61,9 @@
 	if request.Change.Kind != intent.KindInventory && len(params) > maxRuleBytes {
 		return request, tooLarge("change", len(params), maxRuleBytes)
 	}
+	if err := checkKind(&request.Change); err != nil {
+		return request, err
+	}
 	// The certificate says who the operator is; a forwarded request was checked
 	// by the replica that received it.
 	if peer, known := rpc.PeerFromContext(ctx); known && peer.Role == rpc.RoleOperator {
--- /dev/null
+++ b/internal/control/retired_test.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"bramleyhold.example/bramleyhold/internal/consensus"
+	"bramleyhold.example/bramleyhold/internal/controlapi"
+	"bramleyhold.example/bramleyhold/internal/event"
+	"bramleyhold.example/bramleyhold/internal/intent"
+	"bramleyhold.example/bramleyhold/internal/lifecycle"
+	"bramleyhold.example/bramleyhold/internal/logstore"
+	"bramleyhold.example/bramleyhold/internal/telemetry"
+	"bramleyhold.example/bramleyhold/internal/view"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+// single runs one replica that leads and sees the given members.
+func single(t *testing.T, members func() []view.Member) *Server {
+	t.Helper()
+	files, err := logstore.OpenFolder(t.TempDir())
+	require.NoError(t, err)
+	log, err := telemetry.NewLogger(io.Discard, "test", "c1", "info")
+	require.NoError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	require.NoError(t, l.Close())
+	s, err := New(Options{
+		VM: "c1", Listen: address, Peers: map[vm.ID]string{"c1": address}, Files: files, Members: members, Log: log,
+		Registry: metrics.NewRegistry(), ElectionTimeout: 300 * time.Millisecond, Heartbeat: 30 * time.Millisecond,
+	})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	require.Eventually(t, func() bool { return s.replica.view().role == consensus.Leader }, 20*time.Second, 10*time.Millisecond)
+	return s
+}
+
+// Guards against retired VMs that stay in the intent for ever, or that are
+// forgotten without a reason that operators see, or by an operator.
+func TestLeaderForgetsRetiredVMs(t *testing.T) {
+	u0 := view.Member{VM: "u0", Status: view.Ready}
+	u1 := view.Member{VM: "u1", Status: view.Leaving}
+	s := single(t, func() []view.Member { return []view.Member{u0, u1} })
+	propose := func(c intent.Change) {
+		c.BaseRevision = s.replica.view().machine.State.Revision
+		result, err := s.proposeHere(t.Context(), controlapi.ProposeRequest{Change: c})
+		require.NoError(t, err)
+		require.Equal(t, intent.Accepted, result.Outcome, result.Reason)
+	}
+	propose(inventoryOf(2))
+	one := inventoryOf(1)
+	one.OperationID = "second"
+	propose(one)
+
+	tracker, now := lifecycle.NewTracker(), time.Unix(1000, 0)
+	review := func() *intent.State {
+		for end := now.Add(lifecycle.GoneAfter); !now.After(end); now = now.Add(lifecycle.ReviewInterval) {
+			s.reviewRetired(t.Context(), tracker, now)
+		}
+		return s.replica.view().machine.State
+	}
+	require.Len(t, review().VMs, 2, "u1 still has flows")
+	u1.Status = view.Left
+	state := review()
+	require.Len(t, state.VMs, 1)
+	row := state.History[len(state.History)-1]
+	require.Equal(t, intent.HistoryRow{
+		Revision: 3, OperationID: "forget-at-2", Operator: "control c1", Summary: "1 retired VMs forgotten: u1 (left)",
+	}, row)
+	list := s.events.List()
+	last := list[len(list)-1]
+	require.Equal(t, event.Forgotten, last.Kind)
+	require.Equal(t, "u1", last.Object)
+	require.Equal(t, "left", last.Reason)
+
+	params, err := json.Marshal(controlapi.ProposeRequest{Change: intent.Change{
+		OperationID: "op", Kind: intent.KindForget, Forget: &intent.ForgetRule{VMs: []intent.ForgottenVM{{VM: "u0", Reason: "left"}}},
+	}})
+	require.NoError(t, err)
+	_, err = checkPropose(t.Context(), params)
+	require.ErrorContains(t, err, "proposed by control itself")
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -138,6 +138,8 @@
 	go func() { failed <- s.replica.run(running) }()
 	served := make(chan error, 1)
 	go func() { served <- s.rpc.Serve(running) }()
+	reviewed := make(chan struct{})
+	go func() { defer close(reviewed); s.followRetired(running) }()
 	var err error
 	select {
 	case <-ctx.Done():
@@ -151,6 +153,7 @@
 		err = errors.Join(err, <-failed)
 	}
 	cancel()
+	<-reviewed
 	err = errors.Join(err, s.rpc.Close())
 	s.links.close()
 	return err
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -78,7 +78,7 @@
 	rows := [][]string{{"SERVICE", "ENDPOINT", "TRAFFIC", "IDEMPOTENT", "SHAPE", "QUEUE DEADLINE", "PRIORITY"}}
 	for _, s := range a.Services {
 		rows = append(rows, []string{
-			string(s.Name), s.Endpoint.String(), onOff(s.Traffic), strconv.FormatBool(s.Contract.Idempotent),
+			string(s.Name), s.Endpoint.String(), traffic(s), strconv.FormatBool(s.Contract.Idempotent),
 			string(s.Contract.Shape), s.Contract.QueueDeadline.String(), string(s.Contract.Priority),
 		})
 	}
@@ -97,6 +97,13 @@
 	}
 }
 
+func traffic(s intent.Service) string {
+	if s.Retired {
+		return "retired"
+	}
+	return onOff(s.Traffic)
+}
+
 func (a *statusAnswer) processText(w io.Writer) {
 	rows := [][]string{{"PROCESS", "ROLE", "REVISION", "STATE"}}
 	for i := range a.Processes {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -17,6 +17,8 @@
 	Ignored  Kind = "ignored"
 	Applied  Kind = "applied"
 	Placed   Kind = "placed"
+	// Forgotten: a retired VM was removed from the intent.
+	Forgotten Kind = "forgotten"
 )
 
 // Event is one action of a process with its reason.
--- a/internal/intent/apply_test.go
+++ b/internal/intent/apply_test.go
@@ -68,7 +68,7 @@
 		OperationID:  fmt.Sprint("op", rapid.IntRange(max(0, number-3), number).Draw(t, "operation")),
 		BaseRevision: revision - min(revision, uint64(rapid.IntRange(0, 1).Draw(t, "behind"))),
 	}
-	switch rapid.IntRange(0, 2).Draw(t, "kind") {
+	switch rapid.IntRange(0, 3).Draw(t, "kind") {
 	case 0:
 		c.Kind, c.Inventory = intent.KindInventory, twoServices()
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "order"), 1))
@@ -78,6 +78,10 @@
 		c.Inventory.Machines = slices.Clip(c.Inventory.Machines[:rapid.IntRange(1, 6).Draw(t, "machines")])
 	case 1:
 		c.Kind, c.Traffic = intent.KindTraffic, &intent.TrafficRule{Service: "orders", Enabled: rapid.Bool().Draw(t, "enabled")}
+	case 2:
+		c.Kind, c.Forget = intent.KindForget, &intent.ForgetRule{VMs: []intent.ForgottenVM{
+			{VM: vm.ID(fmt.Sprint("orders", rapid.IntRange(0, 2).Draw(t, "vm"))), Reason: "left"},
+		}}
 	default:
 		c.Kind, c.Leaving = intent.KindLeaving, &intent.LeavingRule{VM: "orders1", Leaving: rapid.Bool().Draw(t, "leaving")}
 	}
--- a/internal/intent/change.go
+++ b/internal/intent/change.go
@@ -1,7 +1,6 @@
 package intent
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -32,9 +31,12 @@
 	KindTraffic   Kind = "traffic"
 	KindLeaving   Kind = "leaving"
 	KindContract  Kind = "contract"
+	// KindForget is proposed by the control leader only.
+	KindForget Kind = "forget"
 )
 
-// Change is one request of an operator. Exactly the field of its kind is set.
+// Change is one request of an operator or of the control leader. Exactly the
+// field of its kind is set.
 type Change struct {
 	OperationID  string        `json:"operation_id"`
 	BaseRevision uint64        `json:"base_revision"`
@@ -44,6 +46,7 @@
 	Traffic      *TrafficRule  `json:"traffic,omitempty"`
 	Leaving      *LeavingRule  `json:"leaving,omitempty"`
 	Contract     *ContractRule `json:"contract,omitempty"`
+	Forget       *ForgetRule   `json:"forget,omitempty"`
 }
 
 // TrafficRule says whether a service takes traffic.
@@ -213,6 +216,8 @@
 		return s.setLeaving(*c.Leaving)
 	case c.Kind == KindContract && c.Contract != nil:
 		return s.setContract(*c.Contract)
+	case c.Kind == KindForget && c.Forget != nil:
+		return s.forget(*c.Forget)
 	}
 	return "", &RuleError{Object: "change", Name: string(c.Kind), Reason: "unknown kind or missing content"}
 }
@@ -226,10 +231,20 @@
 
 func (e *RuleError) Error() string { return fmt.Sprintf("%s %q: %s", e.Object, e.Name, e.Reason) }
 
+// listedService returns the position of a service of the inventory. A retired
+// service takes no rules.
+func (s *State) listedService(name service.Name) (int, error) {
+	i := slices.IndexFunc(s.Services, func(v Service) bool { return v.Name == name })
+	if i < 0 || s.Services[i].Retired {
+		return -1, &RuleError{Object: "service", Name: string(name), Reason: "not in the inventory"}
+	}
+	return i, nil
+}
+
 func (s *State) setTraffic(r TrafficRule) (string, error) {
-	i := slices.IndexFunc(s.Services, func(v Service) bool { return v.Name == r.Service })
-	if i < 0 {
-		return "", &RuleError{Object: "service", Name: string(r.Service), Reason: "not in the inventory"}
+	i, err := s.listedService(r.Service)
+	if err != nil {
+		return "", err
 	}
 	s.Services[i].Traffic = r.Enabled
 	return fmt.Sprintf("service %s traffic=%t", r.Service, r.Enabled), nil
@@ -248,58 +263,11 @@
 }
 
 func (s *State) setContract(r ContractRule) (string, error) {
-	i := slices.IndexFunc(s.Services, func(v Service) bool { return v.Name == r.Service })
-	if i < 0 {
-		return "", &RuleError{Object: "service", Name: string(r.Service), Reason: "not in the inventory"}
+	i, err := s.listedService(r.Service)
+	if err != nil {
+		return "", err
 	}
 	s.Services[i].Contract = r.Contract
 	return fmt.Sprintf("service %s contract idempotent=%t shape=%s queue=%s priority=%s",
 		r.Service, r.Contract.Idempotent, r.Contract.Shape, r.Contract.QueueDeadline, r.Contract.Priority), nil
 }
-
-// setInventory replaces the inventory. Rules of services and VMs that stay are
-// kept; removed upstreams are retired.
-func (s *State) setInventory(inv Inventory) (string, error) {
-	if err := s.checkTransition(inv); err != nil {
-		return "", err
-	}
-	s.Services = s.mergeServices(inv.Services)
-	s.VMs = s.mergeMachines(inv.Machines)
-	return fmt.Sprintf("inventory of %d VMs and %d services", len(inv.Machines), len(inv.Services)), nil
-}
-
-func (s *State) mergeServices(entries []ServiceEntry) []Service {
-	merged := make([]Service, 0, len(entries))
-	for _, e := range entries {
-		known, ok := s.FindService(e.Name)
-		if !ok {
-			s.NextServiceID++
-			known = Service{ID: s.NextServiceID, Name: e.Name, Traffic: true, Contract: service.DefaultContract()}
-		}
-		known.Endpoint = e.Endpoint
-		merged = append(merged, known)
-	}
-	slices.SortFunc(merged, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
-	return merged
-}
-
-func (s *State) mergeMachines(machines []Machine) []VM {
-	merged := make([]VM, 0, len(machines))
-	listed := make(map[vm.ID]bool, len(machines))
-	for _, m := range machines {
-		listed[m.ID] = true
-		status := Active
-		if known, ok := s.FindVM(m.ID); ok && known.Status == Leaving {
-			status = Leaving
-		}
-		merged = append(merged, VM{Machine: m, Status: status})
-	}
-	for _, v := range s.VMs {
-		if !listed[v.ID] && v.Role == vm.RoleUpstream {
-			v.Status = Retired
-			merged = append(merged, v)
-		}
-	}
-	slices.SortFunc(merged, func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
-	return merged
-}
--- a/internal/intent/state.go
+++ b/internal/intent/state.go
@@ -44,6 +44,10 @@
 	Endpoint service.Endpoint `json:"endpoint"`
 	Traffic  bool             `json:"traffic"`
 	Contract service.Contract `json:"contract"`
+	// Retired: removed from the inventory while upstreams still refer to it. It
+	// takes no traffic; its established flows keep their endpoint until its last
+	// upstream is forgotten.
+	Retired bool `json:"retired,omitempty"`
 }
 
 // MachineStatus says whether a VM takes part.
--- a/internal/intent/transition.go
+++ b/internal/intent/transition.go
@@ -7,11 +7,14 @@
 )
 
 // checkTransition reports what a new inventory must not change in one step,
-// because it would cut established flows at once.
-func (s *State) checkTransition(inv Inventory) error {
+// because it would cut established flows at once. The VMs are those that the
+// inventory would give, with the retired ones.
+func (s *State) checkTransition(inv Inventory, merged []VM) error {
 	var l finding.List
 	s.checkMoves(&l, inv.Machines)
-	s.checkServices(&l, inv.Services)
+	s.checkServices(&l, inv.Services, s.bound(merged))
+	s.checkRetiredEndpoints(&l, inv.Services, merged)
+	checkSizes(&l, merged)
 	return l.Err()
 }
 
@@ -35,25 +38,86 @@
 	}
 }
 
-// checkServices rejects the removal and a new endpoint of a service that takes
-// traffic: balancers drop packets to an endpoint that no service has.
-func (s *State) checkServices(l *finding.List, entries []ServiceEntry) {
+// bound counts for each service the known upstreams, also retired ones, that
+// stay with it and may hold its flows.
+func (s *State) bound(merged []VM) map[service.Name]int {
+	before := make(map[vm.ID]service.Name, len(s.VMs))
+	for _, v := range s.VMs {
+		if v.Role == vm.RoleUpstream {
+			before[v.ID] = v.Service
+		}
+	}
+	count := map[service.Name]int{}
+	for _, v := range merged {
+		if name, ok := before[v.ID]; ok && v.Role == vm.RoleUpstream && v.Service == name {
+			count[name]++
+		}
+	}
+	return count
+}
+
+// checkServices rejects the removal of a service that takes traffic, and a new
+// endpoint of a service that takes traffic or has upstreams that may hold its
+// flows: agents and balancers know a flow by the endpoint of its service.
+func (s *State) checkServices(l *finding.List, entries []ServiceEntry, bound map[service.Name]int) {
 	endpoints := make(map[service.Name]service.Endpoint, len(entries))
 	for _, e := range entries {
 		endpoints[e.Name] = e.Endpoint
 	}
 	for _, before := range s.Services {
-		if !before.Traffic {
-			continue
-		}
 		place := finding.Place{Object: "service " + string(before.Name), Field: "endpoint"}
 		after, ok := endpoints[before.Name]
-		if !ok {
-			l.Errorf(place, "%s takes traffic: switch its traffic off and wait until its upstreams have no flows, then remove it", before.Endpoint)
-			continue
+		switch {
+		case !ok && before.Traffic:
+			l.Errorf(place, "%s takes traffic: switch its traffic off, then remove it", before.Endpoint)
+		case !ok || after == before.Endpoint:
+		case before.Traffic && bound[before.Name] == 0:
+			l.Errorf(place, "%s takes traffic: switch its traffic off, then change it to %s", before.Endpoint, after)
+		case bound[before.Name] > 0:
+			l.Errorf(place, "%s has %d upstreams that may hold flows: add a service at %s and move the upstreams to it one by one, each leaving and without flows",
+				before.Endpoint, bound[before.Name], after)
+		}
+	}
+}
+
+// checkRetiredEndpoints rejects a service at the endpoint of a retired one:
+// packets of established flows would reach the other service.
+func (s *State) checkRetiredEndpoints(l *finding.List, entries []ServiceEntry, merged []VM) {
+	used := countUpstreams(merged)
+	retired := map[service.Endpoint]service.Name{}
+	for _, before := range s.Services {
+		if used[before.Name] > 0 {
+			retired[before.Endpoint] = before.Name
+		}
+	}
+	for _, e := range entries {
+		delete(retired, s.endpointOf(e.Name))
+	}
+	for _, e := range entries {
+		if name, ok := retired[e.Endpoint]; ok {
+			l.Errorf(finding.Place{Object: "service " + string(e.Name), Field: "endpoint"},
+				"%s is that of the removed service %q, whose %d upstreams may hold flows: choose another one or wait until they are forgotten",
+				e.Endpoint, name, used[name])
 		}
-		if after != before.Endpoint {
-			l.Errorf(place, "%s takes traffic: switch its traffic off and wait until its upstreams have no flows, then change it to %s", before.Endpoint, after)
+	}
+}
+
+func (s *State) endpointOf(name service.Name) service.Endpoint {
+	known, _ := s.FindService(name)
+	return known.Endpoint
+}
+
+// checkSizes rejects a service with more upstreams, together with the retired
+// ones, than a view can hold: a member that is left out loses its flows.
+func checkSizes(l *finding.List, merged []VM) {
+	sizes := countUpstreams(merged)
+	reported := map[service.Name]bool{}
+	for _, v := range merged {
+		if v.Role != vm.RoleUpstream || sizes[v.Service] <= MaxServiceMembers || reported[v.Service] {
+			continue
 		}
+		reported[v.Service] = true
+		l.Errorf(finding.Place{Object: "service " + string(v.Service)},
+			"%d upstreams together with those that are retired: want at most %d; wait until retired ones are forgotten", sizes[v.Service], MaxServiceMembers)
 	}
 }
