--- a/internal/node/forward_test.go
+++ b/internal/node/forward_test.go
@@ -48,29 +48,31 @@
 	return buffer.Bytes()
 }
 
-// testBalancer returns a balancer whose view has one service, and its sink.
-func testBalancer(tb testing.TB, members int) (*Balancer, *udplink.PacketSource, *udplink.Link) {
+// testBalancer returns a balancer whose view has one service with members that
+// receive nothing, and its packet source.
+func testBalancer(tb testing.TB, members int) (*Balancer, *udplink.PacketSource) {
 	tb.Helper()
-	sink, err := udplink.Open(loopback)
-	require.NoError(tb, err)
 	source, err := udplink.OpenPackets(loopback, loopback)
 	require.NoError(tb, err)
 	b, err := NewBalancer(Config{
 		VM: "balancer-1", Zone: testZone, Address: loopback, Keys: testKeys(), Hasher: flow.Hasher{K0: 1, K1: 2}, Log: logrus.NewEntry(logrus.New()),
 	}, source)
 	require.NoError(tb, err)
-	tb.Cleanup(func() { _ = sink.Close(); _ = source.Close(); _ = b.transport.link.Close() })
+	tb.Cleanup(func() { _ = source.Close(); _ = b.transport.link.Close() })
 	state := &intent.State{Revision: 1, Services: []intent.Service{{
 		ID: 1, Name: "orders", Endpoint: service.Endpoint{Address: testVirtual, Protocol: service.TCP}, Traffic: true, Contract: service.DefaultContract(),
 	}}}
 	var live []view.Member
 	for i := range members {
+		sink, err := udplink.Open(loopback)
+		require.NoError(tb, err)
+		tb.Cleanup(func() { _ = sink.Close() })
 		id := vm.ID("orders-" + string(rune('a'+i)))
 		state.VMs = append(state.VMs, intent.VM{Status: intent.Active, Machine: intent.Machine{ID: id, Zone: testZone, Role: vm.RoleUpstream, Service: "orders", Slots: 7, Connections: 2000}})
 		live = append(live, view.Member{VM: id, Zone: testZone, Role: vm.RoleUpstream, Service: "orders", Address: sink.Address(), Status: view.Ready})
 	}
 	b.core.SetView(view.Build(state, live, nil, time.Now()))
-	return b, source, sink
+	return b, source
 }
 
 // saturate keeps the receive buffer of an address full until the test ends.
@@ -119,7 +121,7 @@
 		b.ReportMetric(float64(handled)/b.Elapsed().Seconds(), "packets/s")
 	})
 	b.Run("balancer", func(b *testing.B) {
-		balancer, source, _ := testBalancer(b, benchmarkMembers)
+		balancer, source := testBalancer(b, benchmarkMembers)
 		saturate(b, source.Address(), innerPacket(b))
 		f, batch, handled := balancer.newForwarder(), udplink.NewBatch(), 0
 		b.ReportAllocs()
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -129,47 +129,6 @@
 	return count
 }
 
-// admit checks members against the inventory and groups upstreams by service.
-func (v *View) admit(state *intent.State, members []Member) map[service.Name][]Upstream {
-	machines := make(map[vm.ID]intent.VM, len(state.VMs))
-	for _, m := range state.VMs {
-		machines[m.ID] = m
-	}
-	upstreams := map[service.Name][]Upstream{}
-	for _, member := range members {
-		machine, ok := machines[member.VM]
-		if !ok || !Allowed(machine, member) {
-			continue
-		}
-		if member.Role == vm.RoleBalancer {
-			v.Balancers = append(v.Balancers, member)
-			v.origins[ranking.MemberHash(member.VM)] = member.Address
-			continue
-		}
-		if member.Role == vm.RoleUpstream {
-			upstreams[member.Service] = append(upstreams[member.Service], join(machine, member))
-		}
-	}
-	return upstreams
-}
-
-// Allowed reports whether the inventory lets the VM announce itself like this.
-func Allowed(machine intent.VM, m Member) bool {
-	return machine.Role == m.Role && machine.Service == m.Service && machine.Zone == m.Zone
-}
-
-func join(machine intent.VM, m Member) Upstream {
-	u := Upstream{
-		VM: m.VM, Hash: ranking.MemberHash(m.VM), Zone: m.Zone, Address: m.Address,
-		Incarnation: m.Incarnation, Status: m.Status,
-		Slots: machine.Slots, Connections: machine.Connections, ColdUntil: m.ColdUntil,
-	}
-	if machine.Status != intent.Active && m.Status == Ready {
-		u.Status = Leaving
-	}
-	return u
-}
-
 func (v *View) addService(s *intent.Service, members []Upstream, registered int, previous *View, now time.Time) {
 	slices.SortFunc(members, func(a, b Upstream) int { return cmp.Compare(a.VM, b.VM) })
 	if len(members) > ranking.MaxMembers {
