A superseded process stops; a clock that went back locks no VM out

Cause: the membership reported that another process announces the same VM with a later incarnation, and the node ignored it. Two processes of one VM went on, and a process that was restarted with an earlier clock was held for its dead predecessor for ever. An agent also rejected the flows in its data folder in that case.

An agent takes an incarnation above that of its handoff file.

Checks: go test -race of node passes.

Conclusion: one process of a VM is left, whatever its clock says.

--- a/cmd/bramley-control/wire.go
+++ b/cmd/bramley-control/wire.go
@@ -72,11 +72,17 @@
 	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, serving := errgroup.WithContext(serving)
+	stopping, stop := context.WithCancel(ctx)
+	defer stop()
 	group.Go(func() error {
 		defer cancel()
-		return server.Run(ctx)
+		return server.Run(stopping)
+	})
+	// The observer ends by itself if a successor of the VM has taken over.
+	group.Go(func() error {
+		defer stop()
+		return observer.Run(serving)
 	})
-	group.Go(func() error { return observer.Run(serving) })
 	group.Go(func() error { return http.Serve(serving) })
 	err := group.Wait()
 	log.WithField("error", errorText(err)).Info("stopped")
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -28,7 +28,7 @@
 // status returns what every node can say about itself.
 func (b *base) status(waitingFor string) controlapi.Status {
 	return controlapi.Status{
-		VM: b.cfg.VM, Role: b.cfg.Role, Incarnation: b.cfg.Incarnation,
+		VM: b.cfg.VM, Role: b.cfg.Role, Incarnation: b.liveness.self().Incarnation,
 		Revision: b.feed.current().Revision, WaitingFor: waitingFor, Counters: b.Counters(),
 	}
 }
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -42,7 +42,9 @@
 // Agent runs one agent.
 type Agent struct {
 	*base
-	core   *agent.Core
+	// life is the core of the current incarnation.
+	life   atomic.Pointer[agent.Core]
+	config AgentConfig
 	device Device
 
 	stopping atomic.Bool
@@ -65,19 +67,27 @@
 func NewAgent(cfg AgentConfig, device Device) (*Agent, error) {
 	cfg.Role = vm.RoleUpstream
 	cfg.setDefaults()
-	a := &Agent{device: device, held: map[uint64]heldPacket{}}
-	a.core = agent.New(agent.Config{
-		VM: cfg.VM, Service: cfg.Service, Incarnation: cfg.Incarnation,
-		Upstream: cfg.Upstream, Aliases: cfg.Aliases, Hasher: cfg.Hasher, Recover: true, Events: cfg.Events,
-	})
-	common, err := newBase(cfg.Config, view.Starting, a.core.SetView, a.operatorMethods())
+	cfg.Incarnation = afterHandoff(&cfg)
+	a := &Agent{config: cfg, device: device, held: map[uint64]heldPacket{}}
+	a.life.Store(newLife(&cfg, cfg.Incarnation))
+	common, err := newBase(cfg.Config, view.Starting, func(v *view.View) { a.core().SetView(v) }, a.operatorMethods())
 	if err != nil {
 		return nil, err
 	}
 	a.base = common
+	common.liveness.renewable = false
 	return a, nil
 }
 
+func newLife(cfg *AgentConfig, incarnation vm.Incarnation) *agent.Core {
+	return agent.New(agent.Config{
+		VM: cfg.VM, Service: cfg.Service, Incarnation: incarnation,
+		Upstream: cfg.Upstream, Aliases: cfg.Aliases, Hasher: cfg.Hasher, Recover: true, Events: cfg.Events,
+	})
+}
+
+func (a *Agent) core() *agent.Core { return a.life.Load() }
+
 // Run serves until the context ends. Flows that are left then are written to
 // the data folder, if there is one, for the next life of the agent.
 func (a *Agent) Run(ctx context.Context) error {
@@ -109,7 +119,7 @@
 		case now := <-ticker.C:
 			a.advanceStart(now)
 			w.actions.Clear()
-			a.core.Tick(now, &w.actions)
+			a.core().Tick(now, &w.actions)
 			w.execute(nil, nil)
 			w.batchEnd()
 		}
@@ -151,14 +161,14 @@
 	}
 	w.actions.Clear()
 	header, span := w.startSpan(h)
-	w.a.core.HandleFrame(time.Now(), header, &w.meta, &w.actions)
+	w.a.core().HandleFrame(time.Now(), header, &w.meta, &w.actions)
 	w.endSpan(span)
 	w.execute(header, body)
 }
 
 func (w *worker) message(_ netip.AddrPort, m *peer.Message) {
 	w.actions.Clear()
-	w.a.core.HandlePeer(time.Now(), m, &w.actions)
+	w.a.core().HandlePeer(time.Now(), m, &w.actions)
 	w.execute(nil, nil)
 }
 
@@ -180,7 +190,7 @@
 		return
 	}
 	w.actions.Clear()
-	w.a.core.HandleUpstream(time.Now(), &w.meta, &w.actions)
+	w.a.core().HandleUpstream(time.Now(), &w.meta, &w.actions)
 	w.execute(nil, p)
 	w.batchEnd()
 }
@@ -196,11 +206,11 @@
 	if !a.leaving() {
 		return nil
 	}
-	a.core.Drain(time.Now())
+	a.core().Drain(time.Now())
 	a.liveness.announce(view.Leaving)
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
-	for !a.core.Done() {
+	for !a.core().Done() {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -219,11 +229,11 @@
 
 // WaitingFor says what a stopping agent still waits for.
 func (a *Agent) WaitingFor() string {
-	if !a.core.Draining() {
+	if !a.core().Draining() {
 		return ""
 	}
 	var parts []string
-	for _, w := range a.core.WaitingFor() {
+	for _, w := range a.core().WaitingFor() {
 		parts = append(parts, fmt.Sprintf("%d %s", w.Count, w.For))
 	}
 	return strings.Join(parts, ", ")
@@ -253,7 +263,7 @@
 
 func (a *Agent) agentStatus() controlapi.Status {
 	status := a.status(a.WaitingFor())
-	established, halfOpen := a.core.Flows()
+	established, halfOpen := a.core().Flows()
 	status.Upstream = &controlapi.UpstreamStatus{Service: a.cfg.Service, Flows: established, HalfOpen: halfOpen}
 	return status
 }
--- a/internal/node/base.go
+++ b/internal/node/base.go
@@ -44,7 +44,7 @@
 		return nil, err
 	}
 	t := b.transport
-	b.liveness = newLiveness(t, &b.cfg, status, b.requestRebuild)
+	b.liveness = newLiveness(t.send, &b.cfg, status, b.requestRebuild)
 	var err error
 	b.feed, err = newFeed(&b.cfg, b.requestRebuild)
 	if err != nil {
--- a/internal/node/handoff.go
+++ b/internal/node/handoff.go
@@ -10,6 +10,7 @@
 	"bramleyhold.example/bramleyhold/internal/agent"
 	"bramleyhold.example/bramleyhold/internal/event"
 	"bramleyhold.example/bramleyhold/internal/view"
+	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
 const handoffFileName = "flows.cbor"
@@ -17,6 +18,9 @@
 // advanceStart imports the flows of the earlier life once there is a view, and
 // announces the agent as ready when the recovery from its peers has ended.
 func (a *Agent) advanceStart(now time.Time) {
+	if next := a.liveness.pendingIncarnation(); next != 0 {
+		a.renew(now, next)
+	}
 	if a.latest().ServiceByName(a.cfg.Service) == nil {
 		return
 	}
@@ -26,18 +30,56 @@
 			a.cfg.Log.WithError(err).Error("flows of the earlier life could not be read from the data folder")
 		}
 	}
-	if !a.ready && !a.core.Recovering() {
+	if !a.ready && !a.core().Recovering() {
 		a.ready = true
 		a.liveness.announce(view.Ready)
 	}
 }
 
+// renew starts a life with a greater incarnation, which takes over the flows of
+// the current one as after a planned restart. Peers drop what the current one
+// sends, because they know a later incarnation.
+func (a *Agent) renew(now time.Time, incarnation vm.Incarnation) {
+	former, next := a.core(), newLife(&a.config, incarnation)
+	v := a.latest()
+	if v.ServiceByName(a.cfg.Service) != nil {
+		next.SetView(v)
+		if _, err := next.Import(now, former.Export()); err != nil {
+			a.cfg.Log.WithError(err).Error("flows could not be taken over by the greater incarnation")
+		}
+	}
+	a.life.Store(next)
+	a.mu.Lock()
+	clear(a.held)
+	a.mu.Unlock()
+	a.ready = false
+	a.liveness.renew(incarnation, view.Starting)
+	a.requestRebuild()
+}
+
+// afterHandoff returns an incarnation that is greater than that of the life that
+// wrote its flows to the data folder, also if the clock went back since then.
+func afterHandoff(cfg *AgentConfig) vm.Incarnation {
+	if cfg.DataFolder == "" {
+		return cfg.Incarnation
+	}
+	content, err := os.ReadFile(filepath.Join(cfg.DataFolder, handoffFileName))
+	if err != nil {
+		return cfg.Incarnation
+	}
+	earlier, err := agent.DecodeHandoff(content)
+	if err != nil || earlier.VM != cfg.VM {
+		return cfg.Incarnation
+	}
+	return max(cfg.Incarnation, earlier.Incarnation+1)
+}
+
 // saveHandoff writes the flows for the next life.
 func (a *Agent) saveHandoff() error {
 	if a.cfg.DataFolder == "" {
 		return nil
 	}
-	content, err := agent.EncodeHandoff(a.core.Export())
+	content, err := agent.EncodeHandoff(a.core().Export())
 	if err != nil {
 		return fmt.Errorf("encode flows: %w", err)
 	}
@@ -65,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	count, err := a.core.Import(now, handoff)
+	count, err := a.core().Import(now, handoff)
 	if err != nil {
 		return err
 	}
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -31,7 +31,7 @@
 	}
 	o.cfg.Address = t.link.Address()
 	o.transport = t
-	o.liveness = newLiveness(t, &o.cfg, view.Ready, func() {})
+	o.liveness = newLiveness(t.send, &o.cfg, view.Ready, func() {})
 	return o, nil
 }
 
--- a/internal/node/path_test.go
+++ b/internal/node/path_test.go
@@ -106,7 +106,7 @@
 	p.balancer.core.SetView(v)
 	go func() { done <- p.balancer.Run(ctx) }()
 	for _, a := range p.agents {
-		a.core.SetView(v)
+		a.core().SetView(v)
 		go func() { done <- a.Run(ctx) }()
 	}
 	p.t.Cleanup(func() {
@@ -123,7 +123,7 @@
 	})
 	require.Eventually(p.t, func() bool {
 		for _, a := range p.agents {
-			if a.core.Recovering() {
+			if a.core().Recovering() {
 				return false
 			}
 		}
@@ -237,8 +237,8 @@
 	b, m := p.receive(p.upstream)
 	require.Equal(t, testVirtual, m.Source)
 	require.Equal(t, "answer", string(b[len(b)-6:]))
-	established, halfOpen := p.agents[0].core.Flows()
-	otherEstablished, otherHalfOpen := p.agents[1].core.Flows()
+	established, halfOpen := p.agents[0].core().Flows()
+	otherEstablished, otherHalfOpen := p.agents[1].core().Flows()
 	require.Equal(t, 1, established+halfOpen+otherEstablished+otherHalfOpen)
 }
 
