--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -102,14 +102,24 @@
 		u.Changes = changes
 		return u, nil
 	}
+	snapshot, err := m.whole(from)
+	if err == nil && ok && size <= len(snapshot.Snapshot) {
+		u.Changes = changes
+		return u, nil
+	}
+	return snapshot, err
+}
+
+// whole returns the state as an update, whatever its size.
+func (m *machine) whole(from uint64) (update, error) {
+	u := update{FromRevision: from, ToRevision: max(from, m.State.Revision)}
+	if from >= m.State.Revision {
+		return u, nil
+	}
 	snapshot, err := m.snapshot()
 	if err != nil {
 		return update{}, fmt.Errorf("encode state: %w", err)
 	}
-	if ok && size <= len(snapshot) {
-		u.Changes = changes
-		return u, nil
-	}
 	u.Snapshot = snapshot
 	return u, nil
 }
--- a/internal/control/subscribe.go
+++ b/internal/control/subscribe.go
@@ -28,7 +28,12 @@
 	if err != nil {
 		return nil, err
 	}
-	update, err := s.replica.view().machine.update(request.Revision)
+	m := s.replica.view().machine
+	next := m.update
+	if request.Snapshot {
+		next = m.whole
+	}
+	update, err := next(request.Revision)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/controlapi/api.go
+++ b/internal/controlapi/api.go
@@ -62,6 +62,9 @@
 type SubscribeRequest struct {
 	VM       vm.ID  `json:"vm"`
 	Revision uint64 `json:"revision"`
+	// Snapshot asks for the whole state in the answer if there is a later
+	// revision. A node that cannot apply a delta asks for it.
+	Snapshot bool `json:"snapshot,omitempty"`
 }
 
 // IntentUpdate brings a subscriber from one revision to a later one: either
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"bramleyhold.example/bramleyhold/internal/controlapi"
 	"bramleyhold.example/bramleyhold/internal/event"
 	"bramleyhold.example/bramleyhold/internal/intent"
@@ -22,17 +24,21 @@
 	feedCall = 3 * time.Second
 	// feedBacklog bounds the updates that wait to be applied.
 	feedBacklog = 64
+	// saveRetry is the pause before a state that could not be saved is saved
+	// again.
+	saveRetry = 10 * time.Second
 )
 
 var errDisconnected = errors.New("connection to control closed")
 
-// GapError reports an update that does not follow the applied revision.
-type GapError struct {
-	Applied, From, To uint64
+// UpdateError reports an update that does not lead from the applied revision
+// to the one that it names.
+type UpdateError struct {
+	Applied, From, To, Reached uint64
 }
 
-func (e *GapError) Error() string {
-	return fmt.Sprintf("update %d to %d does not follow the applied revision %d", e.From, e.To, e.Applied)
+func (e *UpdateError) Error() string {
+	return fmt.Sprintf("update %d to %d leads from the applied revision %d to %d", e.From, e.To, e.Applied, e.Reached)
 }
 
 // feed keeps the latest accepted intent. It never goes back to an older one.
@@ -42,6 +48,11 @@
 	random  *rand.Rand
 	store   *intentFile
 
+	// wantSnapshot: the last delta could not be applied. unsaved: the applied
+	// state is not in the file. Both are used by the subscribing goroutine only.
+	wantSnapshot bool
+	unsaved      bool
+
 	mu    sync.Mutex
 	state *intent.State
 }
@@ -53,6 +64,12 @@
 	}
 	f.store = newIntentFile(cfg.DataFolder)
 	saved, err := f.store.load()
+	var damaged *DamagedError
+	if errors.As(err, &damaged) {
+		f.cfg.Log.WithError(err).Error("saved intent not used; the node starts without one and gets it from control")
+		f.cfg.Events.Add(event.Event{At: time.Now(), Kind: event.Ignored, Object: "intent", Reason: err.Error()})
+		return f, nil
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -96,7 +113,7 @@
 	call, cancel := context.WithTimeout(ctx, feedCall)
 	defer cancel()
 	var first controlapi.IntentUpdate
-	request := controlapi.SubscribeRequest{VM: f.cfg.VM, Revision: f.current().Revision}
+	request := controlapi.SubscribeRequest{VM: f.cfg.VM, Revision: f.current().Revision, Snapshot: f.wantSnapshot}
 	if err := conn.Call(call, controlapi.IntentSubscribe, request, &first); err != nil {
 		return fmt.Errorf("subscribe: %w", err)
 	}
@@ -123,12 +140,18 @@
 }
 
 func (f *feed) follow(ctx context.Context, conn *rpc.Conn, updates <-chan controlapi.IntentUpdate) error {
+	again := time.NewTicker(saveRetry)
+	defer again.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-conn.DisconnectNotify():
 			return errDisconnected
+		case <-again.C:
+			if f.unsaved {
+				f.save(f.current())
+			}
 		case update := <-updates:
 			if err := f.apply(update); err != nil {
 				return err
@@ -137,47 +160,55 @@
 	}
 }
 
-// apply brings the state forward. Updates that are older than the state are
-// ignored; an update with a gap is an error.
+// apply brings the state forward and saves it before it is used, so that a
+// restart does not go back. Updates that are older than the state are ignored;
+// one that cannot be applied is an error, after which the whole state is asked
+// for.
 func (f *feed) apply(u controlapi.IntentUpdate) error {
-	f.mu.Lock()
-	next, err := advance(f.state, u)
-	if err != nil || next == f.state {
-		f.mu.Unlock()
+	state := f.current()
+	next, err := advance(state, u)
+	f.wantSnapshot = err != nil
+	if err != nil || next == state {
 		return err
 	}
+	f.save(next)
+	f.mu.Lock()
 	f.state = next
 	f.mu.Unlock()
-	if f.store != nil {
-		if err := f.store.save(next); err != nil {
-			f.cfg.Log.WithError(err).Error("the applied intent could not be saved")
-		}
-	}
 	f.cfg.Events.Add(event.Event{At: time.Now(), Kind: event.Applied, Object: "intent", Reason: fmt.Sprintf("update from revision %d", u.FromRevision), Revision: next.Revision})
 	f.changed()
 	return nil
 }
 
-// advance returns the state after an update.
+// save writes the state. A state that cannot be saved is used all the same: a
+// full disk must not keep an accepted change from being in force. It is saved
+// again later; a restart before that starts from the earlier revision.
+func (f *feed) save(s *intent.State) {
+	if f.store == nil {
+		return
+	}
+	err := f.store.save(s)
+	f.unsaved = err != nil
+	if err == nil {
+		return
+	}
+	metrics.GetOrRegisterCounter("intent.save_failed", f.cfg.Metrics).Inc(1)
+	f.cfg.Log.WithError(err).WithField("revision", s.Revision).Error("the intent could not be saved; a restart would begin with an earlier revision")
+}
+
+// advance returns the state after an update, or the given one if the update is
+// not newer. Operation ids and history are left out: nodes do not need them, and
+// an id that was used before must not keep a change from being applied.
 func advance(s *intent.State, u controlapi.IntentUpdate) (*intent.State, error) {
 	if u.ToRevision <= s.Revision {
 		return s, nil
 	}
-	if u.Snapshot != nil {
-		return u.Snapshot, nil
-	}
-	if u.FromRevision > s.Revision {
-		return nil, &GapError{Applied: s.Revision, From: u.FromRevision, To: u.ToRevision}
+	next, err := u.Advance(s)
+	if err != nil {
+		return nil, fmt.Errorf("update %d to %d: %w", u.FromRevision, u.ToRevision, err)
 	}
-	for _, change := range u.Changes {
-		if change.BaseRevision < s.Revision {
-			continue
-		}
-		next, result := intent.Apply(s, change)
-		if result.Outcome != intent.Accepted {
-			return nil, &GapError{Applied: s.Revision, From: u.FromRevision, To: u.ToRevision}
-		}
-		s = next
+	if next.Revision != u.ToRevision {
+		return nil, &UpdateError{Applied: s.Revision, From: u.FromRevision, To: u.ToRevision, Reached: next.Revision}
 	}
-	return s, nil
+	return next.WithoutRecords(), nil
 }
