A retired upstream keeps its service; whole state on request is tested

Cause: a retired VM could return to the inventory with another service or role. Its former process, which may hold flows, would then no longer be a member of the service of these flows.

Change: the transition is rejected until the VM is forgotten.

Conclusion: the name of a retired VM does not cut its flows.

--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -109,6 +109,24 @@
 	}
 }
 
+// Guards against a node that rejected a change of a delta and gets the same
+// delta again.
+func TestWholeStateOnRequest(t *testing.T) {
+	m, err := decodeMachine(nil)
+	require.NoError(t, err)
+	m = applied(t, applied(t, m, inventoryOf(64)), rule(1, 0))
+	small, err := m.update(1)
+	require.NoError(t, err)
+	require.Len(t, small.Changes, 1)
+	for from, wanted := range []bool{true, true, false, false} {
+		u, err := m.whole(uint64(from))
+		require.NoError(t, err)
+		require.Empty(t, u.Changes)
+		require.Equal(t, wanted, u.Snapshot != nil)
+		require.EqualValues(t, max(from, 2), u.ToRevision)
+	}
+}
+
 // Guards against a node that goes back or skips a revision when updates are
 // repeated, late or missing.
 func TestAdvance(t *testing.T) {
--- a/internal/intent/forget_test.go
+++ b/internal/intent/forget_test.go
@@ -110,6 +110,20 @@
 	require.True(t, renewed.Traffic)
 }
 
+// Guards against a retired VM whose name is used for another service or role
+// while its process may hold flows of the former one.
+func TestRetiredUpstreamKeepsItsService(t *testing.T) {
+	both := []ServiceEntry{entry("kilnlog", 2), entry("shop", 1)}
+	a := upstream("a", "192.0.2.1", "shop")
+	s := step(t, base(t), importing(both, a))
+	moved, balancer := upstream("b", "192.0.2.2", "kilnlog"), Machine{ID: "b", Role: vm.RoleBalancer}
+	refused(t, s, importing(both, a, moved), `vm b field service: error: is a retired upstream of service "shop"`)
+	refused(t, s, importing(both, a, balancer), "is a retired upstream")
+	step(t, s, importing(both, a, upstream("b", "192.0.2.2", "shop")))
+	s = step(t, s, forgetting("b"))
+	step(t, s, importing(both, a, moved))
+}
+
 // Guards against a removed service that stays although its upstreams moved to
 // another one, and against one that never had any.
 func TestRemovedServiceWithoutUpstreams(t *testing.T) {
--- a/internal/intent/transition.go
+++ b/internal/intent/transition.go
@@ -18,23 +18,28 @@
 	return l.Err()
 }
 
-// checkMoves rejects an active upstream that is given another service: it is no
-// longer a member of the service whose flows it holds. An upstream that is
-// leaving can be moved, which the operator does once it has no flows.
+// checkMoves rejects an upstream that may hold flows and is given another
+// service: it is no longer a member of the service whose flows it holds. An
+// upstream that is leaving can be moved, which the operator does once it has no
+// flows.
 func (s *State) checkMoves(l *finding.List, machines []Machine) {
-	active := map[vm.ID]VM{}
+	known := make(map[vm.ID]VM, len(s.VMs))
 	for _, v := range s.VMs {
-		if v.Role == vm.RoleUpstream && v.Status == Active {
-			active[v.ID] = v
-		}
+		known[v.ID] = v
 	}
 	for _, m := range machines {
-		before, ok := active[m.ID]
-		if !ok || m.Role == before.Role && m.Service == before.Service {
+		before, ok := known[m.ID]
+		if !ok || before.Role != vm.RoleUpstream || m.Role == before.Role && m.Service == before.Service {
 			continue
 		}
-		l.Errorf(finding.Place{Object: "vm " + string(m.ID), Field: "service"},
-			"is an active upstream of service %q: mark it leaving and wait until it has no flows, then change its role or service", before.Service)
+		place := finding.Place{Object: "vm " + string(m.ID), Field: "service"}
+		switch before.Status {
+		case Active:
+			l.Errorf(place, "is an active upstream of service %q: mark it leaving and wait until it has no flows, then change its role or service", before.Service)
+		case Retired:
+			l.Errorf(place, "is a retired upstream of service %q that may hold flows: wait until it is forgotten or use another name", before.Service)
+		case Leaving:
+		}
 	}
 }
 
