--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -105,6 +105,19 @@
 	return u, err
 }
 
+// whole returns the state as an update, whatever its size.
+func (m *machine) whole(from uint64) (controlapi.PackedUpdate, error) {
+	u := controlapi.PackedUpdate{FromRevision: from, ToRevision: max(from, m.State.Revision)}
+	if from >= m.State.Revision {
+		return u, nil
+	}
+	var err error
+	if u.Packed, err = m.snapshot(); err != nil {
+		return controlapi.PackedUpdate{}, fmt.Errorf("encode state: %w", err)
+	}
+	return u, nil
+}
+
 func (m *machine) delta(from uint64) (changes []intent.Change, size int, ok bool) {
 	missing := m.State.Revision - from
 	if missing > uint64(len(m.Recent)) {
