control: a planned stop answers every request that was read before it

Cause: a request was refused when its goroutine ran after the stop had begun, although it had been read before. Change: the reader marks requests that arrive after the stop has begun; only these are refused.

--- a/internal/rpc/handler.go
+++ b/internal/rpc/handler.go
@@ -40,8 +40,8 @@
 func (h *methodHandler) Handle(ctx context.Context, conn *Conn, request *jsonrpc2.Request) {
 	calls, counted := ctx.Value(callsKey{}).(*calls)
 	counted = counted && !request.Notif
-	if counted {
-		calls.begin()
+	if counted && !calls.begin() {
+		ctx = context.WithValue(ctx, lateKey{}, true)
 	}
 	answer := func() {
 		h.answer(ctx, conn, request)
@@ -113,17 +113,31 @@
 
 type callsKey struct{}
 
+type lateKey struct{}
+
+// Late reports whether a request was read after the server began to stop. A
+// request that was read before is in progress and must be answered in full.
+func Late(ctx context.Context) bool {
+	late, _ := ctx.Value(lateKey{}).(bool)
+	return late
+}
+
 // calls counts the requests in progress of a server.
 type calls struct {
 	mu    sync.Mutex
 	count int
 	idle  chan struct{}
+	// ending is set by the server when it is about to stop.
+	ending bool
 }
 
-func (c *calls) begin() {
+// begin counts a request and reports whether it was read before the server
+// began to stop.
+func (c *calls) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.count++
+	return !c.ending
 }
 
 func (c *calls) end() {
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -153,6 +153,13 @@
 // InProgress returns the number of requests in progress.
 func (s *Server) InProgress() int { return s.calls.inProgress() }
 
+// BeginStop marks the requests that are read from now on as late.
+func (s *Server) BeginStop() {
+	s.calls.mu.Lock()
+	defer s.calls.mu.Unlock()
+	s.calls.ending = true
+}
+
 // Shutdown stops accepting, waits until no request is in progress or the
 // context ends, and closes all connections. Connections that are already open
 // can still bring requests; handlers refuse them if they are to end soon.
