--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -31,7 +31,7 @@
 	core     *consensus.Core // nil while the replica is down
 	state    *intent.State
 	applied  uint64
-	revision uint64 // highest revision ever served, also across restarts
+	revision uint64 // highest revision served since the disk was empty
 	waiting  map[uint64]func(term uint64, r intent.Result)
 	reading  map[uint64]func(ok bool, revision uint64)
 }
@@ -88,15 +88,7 @@
 	m.core, m.waiting, m.reading = core, map[uint64]func(uint64, intent.Result){}, map[uint64]func(bool, uint64){}
 	m.install(c.t, m.disk.Snapshot)
 	c.process(m)
-	require.GreaterOrEqual(c.t, m.state.Revision, min(m.revision, m.state.Revision+m.lostRevisions()), "the served revision went back")
-}
-
-// lostRevisions is zero for a replica that kept its disk.
-func (m *member) lostRevisions() uint64 {
-	if m.disk.HardState.Commit == 0 {
-		return m.revision
-	}
-	return 0
+	require.GreaterOrEqual(c.t, m.state.Revision, m.revision, "the served revision went back over a restart")
 }
 
 func (m *member) install(t *testing.T, s consensus.Snapshot) {
@@ -134,6 +126,8 @@
 		for _, e := range out.Committed {
 			c.apply(m, e)
 		}
+		require.GreaterOrEqual(c.t, m.state.Revision, m.revision, "the served revision went back")
+		m.revision = m.state.Revision
 		for _, r := range out.Reads {
 			require.True(c.t, r.Lost || r.Index <= m.applied)
 			m.reading[r.ID](!r.Lost, m.state.Revision)
@@ -175,7 +169,6 @@
 		require.NoError(c.t, json.Unmarshal(e.Data, &change))
 		m.state, result = intent.Apply(m.state, change)
 	}
-	m.revision = max(m.revision, m.state.Revision)
 	if answer, ok := m.waiting[e.Index]; ok {
 		delete(m.waiting, e.Index)
 		answer(e.Term, result)
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -96,15 +96,17 @@
 	return d
 }
 
-// receive brings a message of term 4 from c1 and persists the outcome.
-func (d *direct) receive(cluster uint64, m consensus.Message) {
-	m.Cluster, m.To, m.Term = cluster, d.core.Self(), 4
+// receive brings a message, by default of term 4 from c1, and persists the
+// outcome.
+func (d *direct) receive(cluster uint64, m consensus.Message) consensus.Output {
+	m.Cluster, m.To, m.Term = cluster, d.core.Self(), max(m.Term, 4)
 	if m.From.VM == "" {
 		m.From = consensus.Replica{VM: "c1", Incarnation: 1}
 	}
 	d.core.Receive(d.now, m)
-	d.core.Output(d.now)
+	out := d.core.Output(d.now)
 	d.core.Persisted(d.now)
+	return out
 }
 
 func (d *direct) lead(t *testing.T) {
@@ -141,6 +143,25 @@
 	require.Len(t, d.core.Configuration().Voters, 2, "the previous change is not committed")
 }
 
+// Guards against a configuration that stays in force, and entries that stay in
+// the log, after a later leader has replaced them.
+func TestReplacedEntries(t *testing.T) {
+	d := newDirect(t)
+	two := d.core.Configuration()
+	two.Voters = two.Voters[:2]
+	d.receive(7, consensus.Message{Append: &consensus.AppendRequest{PrevIndex: 2, PrevTerm: 2, Entries: []consensus.Entry{
+		{Index: 3, Term: 4, Kind: consensus.KindConfiguration, Configuration: &two}, {Index: 4, Term: 4}, {Index: 5, Term: 4},
+	}}})
+	require.Len(t, d.core.Configuration().Voters, 2)
+	d.receive(7, consensus.Message{Term: 5, Append: &consensus.AppendRequest{PrevIndex: 2, PrevTerm: 2, Entries: []consensus.Entry{
+		{Index: 3, Term: 5}, {Index: 4, Term: 5}, {Index: 5, Term: 5},
+	}}})
+	require.Len(t, d.core.Configuration().Voters, 3)
+	d.receive(7, consensus.Message{Term: 6, Install: &consensus.SnapshotRequest{Snapshot: consensus.Snapshot{Index: 4, Term: 6, Configuration: two}}})
+	out := d.receive(7, consensus.Message{Term: 6, Append: &consensus.AppendRequest{PrevIndex: 5, PrevTerm: 5}})
+	require.True(t, out.Messages[0].Appended.Rejected, "entry 5 followed an entry that the snapshot replaced")
+}
+
 // Guards against votes of a cluster that was founded separately.
 func TestOtherClusterIsIgnored(t *testing.T) {
 	d := newDirect(t)
