agent: a returned upstream is not lost; restored flows give slots back after 5 s

A keeper whose view still had the earlier life of an upstream as failed reset the flows of its new life. After a restart of an agent, flows that had ended meanwhile held their slots for 60 s, so that openings of a service with 3 upstreams waited while slots were free.

Change: a registration of a later incarnation than the failed one is followed. A restored flow without a packet gives its slot back after 5 s (60 s before) and takes it again with its next packet.

Conclusion: TestUpstreamReturned fails without the change. Up to 5 s of held slots remain after a restart.

--- a/internal/agent/drain_test.go
+++ b/internal/agent/drain_test.go
@@ -155,3 +155,33 @@
 		})
 	}
 }
+
+// Guards against a reset of a new flow of an upstream that has returned, by a
+// keeper whose view still has its earlier life as failed.
+func TestUpstreamReturned(t *testing.T) {
+	s := tcpSetup()
+	s.nodes, s.slots = 4, 20
+	x := newExchange(t, s)
+	x.node(1).down = true
+	x.status(1, view.Failed)
+	x.spread()
+	x.run(GracePeriod)
+	n := x.restart(1, false)
+	x.status(1, view.Ready)
+	old := x.view
+	x.spread()
+	for _, other := range x.nodes {
+		if x.svc().Placer(0) != x.svc().Index(other.id) && other != n {
+			other.core.state.Store(other.core.newState(old, nil))
+		}
+	}
+	callers := x.fill(0, 40)
+	for _, c := range callers {
+		delete(x.hints, c.key)
+		c.request(10)
+	}
+	established, _ := n.core.Flows()
+	require.NotZero(t, established)
+	require.Empty(t, x.resets)
+	require.Len(t, x.executed, 40)
+}
--- a/internal/agent/recovery.go
+++ b/internal/agent/recovery.go
@@ -26,7 +26,7 @@
 	// quietLimit is the time after which a restored flow without a packet
 	// gives its slot back: it may have ended during the restart. It takes the
 	// slot again with its next packet.
-	quietLimit = time.Minute
+	quietLimit = 5 * time.Second
 )
 
 // recovery gets the flows of an earlier life back from the peers.
--- a/internal/agent/walk.go
+++ b/internal/agent/walk.go
@@ -30,10 +30,16 @@
 		return false
 	}
 	i := a.svc.Index(reg.holder)
-	if i >= 0 && a.svc.Members[i].Status == view.Failed {
+	if i < 0 {
+		return false
+	}
+	// A registration by a later life than the one that failed shows that the
+	// holder has returned and this view is late.
+	returned := reg.record.Incarnation > a.svc.Members[i].Incarnation
+	if a.svc.Members[i].Status == view.Failed && !returned {
 		return c.resetLost(a, out)
 	}
-	if i < 0 || !a.svc.Members[i].Reachable() || a.svc.Tried(a.h.Tried[:])&(1<<uint(i)) != 0 {
+	if (!a.svc.Members[i].Reachable() && !returned) || a.svc.Tried(a.h.Tried[:])&(1<<uint(i)) != 0 {
 		return false
 	}
 	next := *a.h
