agent: report a free slot at once where the placer cannot know of it

Cause: with two departures close together only the first was reported outside the budget. The placer filled that slot and took the member as full while a second slot was free.

Change: the agent adds the slots taken since its last report to what it reported, as the placer does. Where that reaches the slots and one is free, the report goes out at once.

--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -79,9 +79,11 @@
 type loadState struct {
 	sequence atomic.Uint64
 	// urgent: a slot was freed or the status changed. changed: a placement
-	// has to be confirmed. wasFull: no slot was free at some time since the
-	// last report, so that the placer may take the member as full.
-	urgent, changed, wasFull atomic.Bool
+	// has to be confirmed.
+	urgent, changed atomic.Bool
+	// admitted counts the slots that were taken since the last report. The
+	// placer adds them to what was reported and knows no departure.
+	admitted atomic.Int64
 
 	mu      sync.Mutex
 	limiter *rate.Limiter
@@ -162,7 +164,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	full := l.Busy >= l.Slots
-	freed := s.wasFull.Load() && !full
+	freed := !full && s.lastBusy+int(s.admitted.Load()) >= l.Slots
 	switch {
 	case l.Busy < s.lastBusy:
 		s.urgent.Store(true)
@@ -188,7 +190,7 @@
 		s.lastToAll = now
 	}
 	s.lastReport, s.lastBusy = now, l.Busy
-	s.wasFull.Store(full)
+	s.admitted.Store(0)
 	s.urgent.Store(false)
 	s.changed.Store(false)
 	return toAll, true
--- a/internal/agent/opening.go
+++ b/internal/agent/opening.go
@@ -167,9 +167,7 @@
 			return NoSlot
 		}
 		f.marks |= holdsSlot
-		if c.flows.slots.Load() >= int64(own.Slots) {
-			c.load.wasFull.Store(true)
-		}
+		c.load.admitted.Add(1)
 	}
 	if !c.aliases.acquire(f) {
 		c.freeSlot(f)
