--- a/internal/measure/caller.go
+++ b/internal/measure/caller.go
@@ -83,7 +83,6 @@
 		// sessionTime is the mean life of a long flow.
 		sessionTime = 20 * time.Second
 	)
-	w.begin = w.now.Add(quietTime)
 	for i, s := range w.loads {
 		capacity := float64(s.Upstreams*w.slots()) * w.opts.Load
 		s.rate = capacity / holdingTime.Seconds()
--- a/internal/measure/normalize.go
+++ b/internal/measure/normalize.go
@@ -13,6 +13,11 @@
 // agent walks maps to build them, and a lost message must concern the same
 // flows in every run with the same seed.
 func normalize(list []agent.Action) {
+	if !slices.ContainsFunc(list, func(a agent.Action) bool {
+		return a.Message != nil && (a.Message.Register != nil || a.Message.Unregister != nil)
+	}) {
+		return
+	}
 	registered := map[string][]peer.FlowRecord{}
 	ended := map[string][]flow.Key{}
 	for i := range list {
