--- a/internal/measure/caller.go
+++ b/internal/measure/caller.go
@@ -98,6 +98,9 @@
 
 // duration is the time in which the openings of the main service arrive.
 func (w *world) duration() time.Duration {
+	if w.opts.Duration > 0 {
+		return w.opts.Duration
+	}
 	return time.Duration(float64(w.opts.Flows) / w.loads[0].rate * float64(time.Second))
 }
 
--- a/internal/measure/options.go
+++ b/internal/measure/options.go
@@ -42,14 +42,16 @@
 
 // Options says what to run.
 type Options struct {
-	Scenario   string
-	Policy     Policy
-	Seed       uint64
-	Upstreams  int
-	Slots      int
-	Load       float64
-	Balancers  int
-	Flows      int
+	Scenario  string
+	Policy    Policy
+	Seed      uint64
+	Upstreams int
+	Slots     int
+	Load      float64
+	Balancers int
+	Flows     int
+	// Duration, if set, replaces Flows as the length of the run.
+	Duration   time.Duration
 	ViewLag    time.Duration
 	Loss       float64
 	Deployment Deployment
