--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -163,6 +163,12 @@
 	c.hints.put(hash, hint{holder: ranking.MemberHash(h.Holder), incarnation: h.Incarnation})
 }
 
+// Hint returns the member hash of the holder that a hint names.
+func (c *Core) Hint(key flow.Key) (member uint64, ok bool) {
+	h, ok := c.hints.get(c.cfg.Hasher.Hash(key))
+	return h.holder, ok
+}
+
 // Hints returns how many hints are kept.
 func (c *Core) Hints() int { return c.hints.len() }
 
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -246,7 +246,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return a.explain(request), nil
+			return a.explainHeld(request), nil
 		},
 	}
 }
@@ -254,6 +254,27 @@
 func (a *Agent) agentStatus() controlapi.Status {
 	status := a.status(a.WaitingFor())
 	established, halfOpen := a.core.Flows()
-	status.Upstream = &controlapi.UpstreamStatus{Service: a.cfg.Service, Flows: established, HalfOpen: halfOpen}
+	load := a.core.Load()
+	status.Upstream = &controlapi.UpstreamStatus{
+		Service: a.cfg.Service, Status: load.Status, Slots: load.Slots, Busy: load.Busy, Queued: load.Queued,
+		Flows: established, HalfOpen: halfOpen, Connections: load.MaxFlows,
+	}
 	return status
 }
+
+// explainHeld adds what this agent knows about the flow itself.
+func (a *Agent) explainHeld(request controlapi.ExplainRequest) controlapi.Explanation {
+	answer := a.explain(request)
+	known := a.core.Know(explainKey(request))
+	switch {
+	case known.Phase != 0:
+		answer.Holder = a.cfg.VM
+		answer.Reasons = append(answer.Reasons, "this agent holds the flow, which is "+known.Phase.String())
+	case known.Holder != "":
+		answer.Holder = known.Holder
+		answer.Reasons = append(answer.Reasons, "the holder has registered the flow here")
+	default:
+		answer.Reasons = append(answer.Reasons, "the flow is neither held nor registered here: packets go on along the ranking")
+	}
+	return answer
+}
--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -278,7 +278,25 @@
 			if err != nil {
 				return nil, err
 			}
-			return b.explain(request), nil
+			return b.explainHint(request), nil
 		},
 	}
 }
+
+// explainHint adds where the hint, if there is one, sends the flow.
+func (b *Balancer) explainHint(request controlapi.ExplainRequest) controlapi.Explanation {
+	answer := b.explain(request)
+	svc := b.latest().ServiceByEndpoint(request.Endpoint)
+	if svc == nil {
+		return answer
+	}
+	if member, ok := b.core.Hint(explainKey(request)); ok {
+		if i := svc.IndexByHash(member); i >= 0 {
+			answer.Holder = svc.Members[i].VM
+			answer.Reasons = append(answer.Reasons, "a hint names the holder")
+			return answer
+		}
+	}
+	answer.Reasons = append(answer.Reasons, "no hint: openings go to the placer, other packets to the home")
+	return answer
+}
--- a/internal/settings/signal_test.go
+++ b/internal/settings/signal_test.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -23,7 +24,8 @@
 		_, _ = os.Stdout.WriteString("r")
 		<-ctx.Done()
 		_, _ = os.Stdout.WriteString("s")
-		select {}
+		time.Sleep(time.Minute)
+		return
 	}
 	cmd := exec.Command(os.Args[0], "-test.run", "^TestSecondSignalEndsTheProgram$")
 	cmd.Env = append(os.Environ(), stoppingProgram+"=1")
@@ -31,14 +33,30 @@
 	require.NoError(t, err)
 	require.NoError(t, cmd.Start())
 	t.Cleanup(func() { _ = cmd.Process.Kill() })
-	for _, want := range []string{"r", "s"} {
+	read := func() string {
 		state := make([]byte, 1)
 		_, err := out.Read(state)
 		require.NoError(t, err)
-		require.Equal(t, want, string(state))
-		require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+		return string(state)
+	}
+	require.Equal(t, "r", read())
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.Equal(t, "s", read())
+	// The default action returns shortly after the context has ended, so the
+	// signal is repeated, as an operator would.
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	for limit := time.After(10 * time.Second); ; {
+		_ = cmd.Process.Signal(syscall.SIGTERM)
+		select {
+		case err := <-ended:
+			var exit *exec.ExitError
+			require.ErrorAs(t, err, &exit)
+			require.Equal(t, syscall.SIGTERM, exit.Sys().(syscall.WaitStatus).Signal())
+			return
+		case <-limit:
+			t.Fatal("the program did not end")
+		case <-time.After(50 * time.Millisecond):
+		}
 	}
-	var ended *exec.ExitError
-	require.ErrorAs(t, cmd.Wait(), &ended)
-	require.Equal(t, syscall.SIGTERM, ended.Sys().(syscall.WaitStatus).Signal())
 }
