--- a/internal/control/subscribe.go
+++ b/internal/control/subscribe.go
@@ -28,7 +28,12 @@
 	if err != nil {
 		return nil, err
 	}
-	update, err := s.replica.view().machine.update(request.Revision)
+	m := s.replica.view().machine
+	next := m.update
+	if request.Snapshot {
+		next = m.whole
+	}
+	update, err := next(request.Revision)
 	if err != nil {
 		return nil, err
 	}
@@ -92,10 +97,10 @@
 	}
 }
 
-func (s *Server) countUpdate(u update) {
-	kind := "control.updates.delta"
-	if u.Snapshot != nil {
-		kind = "control.updates.snapshot"
+func (s *Server) countUpdate(u controlapi.PackedUpdate) {
+	kind := "control.updates.plain"
+	if len(u.Packed) > 0 {
+		kind = "control.updates.packed"
 	}
 	metrics.GetOrRegisterCounter(kind, s.registry).Inc(1)
 }
