--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -120,6 +120,16 @@
 	c.load.changed.Store(true)
 }
 
+// Load returns the load of the upstream as its placers get it. It is empty
+// while the view has no service of this agent.
+func (c *Core) Load() peer.Load {
+	svc := c.service()
+	if svc == nil {
+		return peer.Load{VM: c.cfg.VM}
+	}
+	return c.ownLoad(svc)
+}
+
 // ownLoad returns the load of this upstream.
 func (c *Core) ownLoad(svc *view.Service) peer.Load {
 	established, halfOpen := c.flows.counts()
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -256,14 +256,28 @@
 			if err != nil {
 				return nil, err
 			}
-			return a.explain(request), nil
+			return a.explainHeld(request), nil
 		},
 	}
 }
 
 func (a *Agent) agentStatus() controlapi.Status {
 	status := a.status(a.WaitingFor())
-	established, halfOpen := a.core().Flows()
-	status.Upstream = &controlapi.UpstreamStatus{Service: a.cfg.Service, Flows: established, HalfOpen: halfOpen}
+	core := a.core()
+	established, halfOpen := core.Flows()
+	load := core.Load()
+	status.Upstream = &controlapi.UpstreamStatus{
+		Service: a.cfg.Service, Status: load.Status, Slots: load.Slots, Busy: load.Busy, Queued: load.Queued,
+		Flows: established, HalfOpen: halfOpen, Connections: load.MaxFlows,
+	}
 	return status
 }
+
+// explainHeld adds what this agent knows about the flow itself.
+func (a *Agent) explainHeld(request controlapi.ExplainRequest) controlapi.Explanation {
+	answer := a.explain(request)
+	known := a.core().Explain(time.Now(), explainKey(request))
+	answer.Holder = known.Holder
+	answer.Reasons = append(answer.Reasons, known.Reasons...)
+	return answer
+}
