membership: failed members are contacted by the zone each interval

Change: a zone sends four digests per interval to members held for failed; seeds may include addresses known before a restart; a test of that case.

--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -77,17 +77,20 @@
 	youngInterval = time.Second
 	youngAge      = 30 * time.Second
 	// syncStep is the time to the next exchange while exchanges bring news.
-	syncStep        = 200 * time.Millisecond
-	syncRate        = 16000.0
-	syncBurst       = 32000.0
-	syncPackets     = 8  // bounds the answer to one request
-	digestReplies   = 2  // zones repaired in one exchange
-	maxSummaries    = 28 // a summary takes at most 34 bytes
-	wantBytes       = 9
-	stampBytes      = 15
-	overheadBytes   = 81 // frame header and tag, UDP and IPv4
-	failedPeerShare = 8  // one digest in so many goes to a failed member
-	bucketCount     = 64
+	syncStep      = 200 * time.Millisecond
+	syncRate      = 16000.0
+	syncBurst     = 32000.0
+	syncPackets   = 8  // bounds the answer to one request
+	digestReplies = 2  // zones repaired in one exchange
+	maxSummaries  = 28 // a summary takes at most 34 bytes
+	wantBytes     = 9
+	stampBytes    = 15
+	overheadBytes = 81 // frame header and tag, UDP and IPv4
+	// failedContacts is how many digests a zone sends to failed members per
+	// interval. With one digest in eight of each member a process that
+	// restarted while the only seed was down was found after four minutes.
+	failedContacts = 4
+	bucketCount    = 64
 )
 
 const (
@@ -104,7 +107,9 @@
 	// Self is the first announcement. Its Incarnation must exceed that of any
 	// earlier process on the same VM.
 	Self view.Member
-	// Seeds are the gossip addresses of the control VMs.
+	// Seeds are the gossip addresses of the control VMs. Addresses of members
+	// known before a restart may follow, so that a process can also join while
+	// no control VM is reachable.
 	Seeds []netip.AddrPort
 	// Rand is the only source of randomness.
 	Rand *rand.Rand
--- a/internal/membership/failure_test.go
+++ b/internal/membership/failure_test.go
@@ -274,3 +274,18 @@
 		require.LessOrEqual(t, times, 2)
 	}
 }
+
+// Guards against a process that stays alone when it restarts while no seed is
+// reachable.
+func TestRestartWithoutSeeds(t *testing.T) {
+	f := build(t, 14, 16, 2)
+	restarted := f.Members[8]
+	for _, m := range append(f.Members[:3:3], restarted) {
+		m.Stopped = true
+	}
+	f.Run(30 * time.Second)
+	require.True(t, f.AllHold(restarted, view.Failed))
+	f.Restart(restarted)
+	_, ok := f.RunUntil(time.Minute, func() bool { return allSee(f, view.Ready, 13) })
+	require.True(t, ok)
+}
--- a/internal/membership/fleet/fleet.go
+++ b/internal/membership/fleet/fleet.go
@@ -229,15 +229,7 @@
 }
 
 // Sees returns how many members the node counts with the given status.
-func (m *Member) Sees(status view.Status) int {
-	count := 0
-	for _, x := range m.Node.Members() {
-		if x.Status == status {
-			count++
-		}
-	}
-	return count
-}
+func (m *Member) Sees(status view.Status) int { return m.Node.Count(status) }
 
 // StatusOf returns the status of one member in the view of another.
 func (m *Member) StatusOf(other *Member) view.Status {
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -68,6 +68,17 @@
 // Size returns how many members are known, including failed ones.
 func (n *Node) Size() int { return len(n.records) }
 
+// Count returns how many members have the given status.
+func (n *Node) Count(status view.Status) int {
+	count := 0
+	for _, r := range n.records {
+		if r.status() == status {
+			count++
+		}
+	}
+	return count
+}
+
 // Self returns the own announcement.
 func (n *Node) Self() view.Member { return n.self.member }
 
--- a/internal/membership/repair.go
+++ b/internal/membership/repair.go
@@ -49,6 +49,7 @@
 	if to, ok := n.repairPeer(); ok {
 		n.emit(out, to, m)
 	}
+	n.contactFailed(m, out)
 	if n.delegateRank() < 0 || now.Before(n.repair.crossAt) {
 		return
 	}
@@ -76,21 +77,27 @@
 	return digestInterval
 }
 
-// repairPeer returns a member of the own zone. Now and then it is one that
-// is held for failed, so that the two sides of a healed partition meet.
+// repairPeer returns a member of the own zone, else a seed.
 func (n *Node) repairPeer() (netip.AddrPort, bool) {
 	peers := n.pick(nil, n.self.zone.live, 1, func(r *record) bool { return r != n.self })
-	if len(peers) == 0 || n.rng.IntN(failedPeerShare) == 0 {
-		if r := n.failedPeer(); r != nil {
-			return r.member.Address, true
-		}
-	}
 	if len(peers) > 0 {
 		return peers[0].member.Address, true
 	}
 	return n.randomSeed()
 }
 
+// contactFailed sends a digest to a member that is held for failed, so that
+// the two sides of a healed partition meet, and a process that restarts while
+// no seed is reachable is found. The members of a zone share the work.
+func (n *Node) contactFailed(m *message, out *Output) {
+	if n.rng.IntN(len(n.self.zone.live)) >= failedContacts {
+		return
+	}
+	if r := n.failedPeer(); r != nil {
+		n.emit(out, r.member.Address, m)
+	}
+}
+
 func (n *Node) failedPeer() *record {
 	start := n.rng.IntN(bucketCount)
 	for i := range bucketCount {
