--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 
 	"bramleyhold.example/bramleyhold/internal/controlapi"
 	"bramleyhold.example/bramleyhold/internal/event"
@@ -117,6 +118,7 @@
 	if err := conn.Call(call, controlapi.IntentSubscribe, request, &first); err != nil {
 		return fmt.Errorf("subscribe: %w", err)
 	}
+	f.cfg.Log.WithField("control", address).Info("subscribed to the intent")
 	if err := f.apply(first); err != nil {
 		return err
 	}
@@ -175,6 +177,7 @@
 	f.mu.Lock()
 	f.state = next
 	f.mu.Unlock()
+	f.cfg.Log.WithFields(logrus.Fields{"revision": next.Revision, "from_revision": u.FromRevision}).Info("intent applied")
 	f.cfg.Events.Add(event.Event{At: time.Now(), Kind: event.Applied, Object: "intent", Reason: fmt.Sprintf("update from revision %d", u.FromRevision), Revision: next.Revision})
 	f.changed()
 	return nil
--- a/internal/node/handoff.go
+++ b/internal/node/handoff.go
@@ -7,6 +7,8 @@
 	"path/filepath"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"bramleyhold.example/bramleyhold/internal/agent"
 	"bramleyhold.example/bramleyhold/internal/event"
 	"bramleyhold.example/bramleyhold/internal/view"
@@ -32,6 +34,8 @@
 	}
 	if !a.ready && !a.core().Recovering() {
 		a.ready = true
+		established, halfOpen := a.core().Flows()
+		a.cfg.Log.WithFields(logrus.Fields{"flows": established, "half_open": halfOpen}).Info("ready")
 		a.liveness.announce(view.Ready)
 	}
 }
@@ -52,8 +56,13 @@
 	a.mu.Lock()
 	clear(a.held)
 	a.mu.Unlock()
-	a.ready = false
-	a.liveness.renew(incarnation, view.Starting)
+	if former.Draining() {
+		next.Drain(now)
+		a.liveness.renew(incarnation, view.Leaving)
+	} else {
+		a.ready = false
+		a.liveness.renew(incarnation, view.Starting)
+	}
 	a.requestRebuild()
 }
 
