node: test that a greater incarnation keeps established flows

Cause: the change of incarnation replaces the core of a running agent; no test had a flow through it.

Change: a TCP exchange over balancer and agent goes on after both agents took a greater incarnation, with the same alias.

--- a/internal/node/liveness_test.go
+++ b/internal/node/liveness_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/gopacket/gopacket/layers"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
@@ -17,6 +18,7 @@
 	"bramleyhold.example/bramleyhold/internal/frame"
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/membership"
+	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/udplink"
 	"bramleyhold.example/bramleyhold/internal/view"
 	"bramleyhold.example/bramleyhold/internal/vm"
@@ -203,3 +205,38 @@
 		})
 	}
 }
+
+// Guards against an established flow that is lost, or gets another alias, when
+// its agent announces a greater incarnation.
+func TestGreaterIncarnationKeepsFlows(t *testing.T) {
+	p := newTestPath(t, service.TCP)
+	p.send(tcpSegment(t, testCaller, testVirtual, layers.TCP{SYN: true, Seq: 100}, ""))
+	_, syn := p.receive(p.upstream)
+	p.answer(tcpSegment(t, syn.Destination, syn.Source, layers.TCP{SYN: true, ACK: true, Seq: 500, Ack: 101}, ""))
+	p.receive(p.upstream)
+	order := func(sequence uint32, payload string) {
+		p.send(tcpSegment(t, testCaller, testVirtual, layers.TCP{ACK: true, PSH: true, Seq: sequence, Ack: 501}, payload))
+		b, m := p.receive(p.upstream)
+		require.Equal(t, syn.Source, m.Source)
+		require.Equal(t, payload, string(b[len(b)-len(payload):]))
+	}
+	order(101, "order 1")
+	v := p.balancer.core.View()
+	for _, a := range p.agents {
+		former := a.core()
+		established, _ := former.Flows()
+		a.base.mu.Lock()
+		a.previous = v
+		a.base.mu.Unlock()
+		a.liveness.takeSuperseded(time.Now(), a.cfg.Incarnation+100)
+		require.Eventually(t, func() bool { return a.core() != former && !a.core().Recovering() }, answerLimit, time.Millisecond)
+		kept, _ := a.core().Flows()
+		require.Equal(t, established, kept)
+		require.Equal(t, a.cfg.Incarnation+101, a.agentStatus().Incarnation)
+	}
+	order(108, "order 2")
+	p.answer(tcpSegment(t, syn.Destination, syn.Source, layers.TCP{ACK: true, PSH: true, Seq: 501, Ack: 115}, "done"))
+	b, m := p.receive(p.upstream)
+	require.Equal(t, testVirtual, m.Source)
+	require.Equal(t, "done", string(b[len(b)-4:]))
+}
