--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -55,6 +55,12 @@
 	snapshot, err := m.snapshot()
 	require.NoError(t, err)
 	require.LessOrEqual(t, len(u.Packed), len(snapshot))
+	return unpacked(t, u)
+}
+
+// unpacked returns an update as a subscriber reads it.
+func unpacked(t *testing.T, u controlapi.PackedUpdate) controlapi.IntentUpdate {
+	t.Helper()
 	data, err := json.Marshal(u)
 	require.NoError(t, err)
 	var decoded controlapi.IntentUpdate
@@ -127,7 +133,7 @@
 		u, err := m.whole(uint64(from))
 		require.NoError(t, err)
 		require.Empty(t, u.Changes)
-		require.Equal(t, wanted, u.Packed != nil)
+		require.Equal(t, wanted, unpacked(t, u).Snapshot != nil)
 		require.EqualValues(t, max(from, 2), u.ToRevision)
 	}
 }
--- a/internal/node/liveness_test.go
+++ b/internal/node/liveness_test.go
@@ -146,6 +146,29 @@
 	}
 }
 
+// Guards against a VM that stays alive for its peers because the process of
+// another VM, which was given its address, answers for it.
+func TestAddressGivenToAnotherVM(t *testing.T) {
+	for name, incarnation := range map[string]vm.Incarnation{"later": 900, "clock behind": 3} {
+		t.Run(name, func(t *testing.T) {
+			x := newExchange()
+			peer := x.join(1, "peer", 1)
+			x.join(2, "other", 1)
+			x.join(4, "third", 1)
+			former := x.join(3, "a", 500)
+			x.run(10 * time.Second)
+			x.stop(former)
+			latter := x.join(3, "b", incarnation)
+			// Each of five members is probed within a few seconds, and a suspicion
+			// takes 3 s to become a failure.
+			x.run(20 * time.Second)
+			x.requireKnown(t, peer, "b", incarnation, view.Ready)
+			x.requireKnown(t, peer, "a", 500, view.Failed)
+			require.Empty(t, latter.superseded)
+		})
+	}
+}
+
 // agentOf returns an agent of orders with a view, which is not running.
 func agentOf(t *testing.T, folder string, incarnation vm.Incarnation) *Agent {
 	t.Helper()
