--- a/internal/node/handoff.go
+++ b/internal/node/handoff.go
@@ -56,8 +56,13 @@
 	a.mu.Lock()
 	clear(a.held)
 	a.mu.Unlock()
-	a.ready = false
-	a.liveness.renew(incarnation, view.Starting)
+	if former.Draining() {
+		next.Drain(now)
+		a.liveness.renew(incarnation, view.Leaving)
+	} else {
+		a.ready = false
+		a.liveness.renew(incarnation, view.Starting)
+	}
 	a.requestRebuild()
 }
 
