--- a/cmd/bramley-agent/main.go
+++ b/cmd/bramley-agent/main.go
@@ -14,6 +14,7 @@
 	"bramleyhold.example/bramleyhold/internal/finding"
 	"bramleyhold.example/bramleyhold/internal/node"
 	"bramleyhold.example/bramleyhold/internal/nodecmd"
+	"bramleyhold.example/bramleyhold/internal/probe"
 	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/settings"
 	"bramleyhold.example/bramleyhold/internal/tun"
@@ -23,9 +24,10 @@
 
 // agentSettings holds the settings that only bramley-agent has.
 type agentSettings struct {
-	Service  service.Name   `flag:"service" validate:"required"`
-	Upstream netip.AddrPort `flag:"upstream" validate:"required"`
-	Aliases  netip.Prefix   `flag:"aliases" validate:"required"`
+	Service   service.Name   `flag:"service" validate:"required"`
+	Upstream  netip.AddrPort `flag:"upstream" validate:"required"`
+	Aliases   netip.Prefix   `flag:"aliases" validate:"required"`
+	HealthURL string         `flag:"health-url" validate:"omitempty,http_url"`
 	// DeviceAddress is for upstreams whose address is not on another device.
 	DeviceAddress netip.Prefix `flag:"device-address"`
 }
@@ -35,6 +37,7 @@
 	settings.String(s, &a.Service, "service", "", "service of the upstream beside this agent")
 	settings.Text(s, &a.Upstream, "upstream", "", "address of the upstream: IP:port")
 	settings.Text(s, &a.Aliases, "aliases", "", "prefix under which the upstream sees callers: address/bits; used on this VM only")
+	settings.String(s, &a.HealthURL, "health-url", "", "health and load endpoint of the upstream; a TCP connect if empty")
 	settings.Text(s, &a.DeviceAddress, "device-address", "", "address/bits to assign to the TUN device; none if empty")
 	s.Check(func(l *finding.List) {
 		if a.Aliases.IsValid() && a.Upstream.IsValid() && a.Aliases.Addr().Is4() != a.Upstream.Addr().Is4() {
@@ -73,7 +76,7 @@
 		}),
 		container.Provide(func(cfg node.Config, device node.Device) (*node.Agent, error) {
 			cfg.Service = own.Service
-			return node.NewAgent(node.AgentConfig{Config: cfg, Upstream: own.Upstream, Aliases: own.Aliases}, device)
+			return node.NewAgent(node.AgentConfig{Config: cfg, Upstream: own.Upstream, Aliases: own.Aliases, Prober: newProber(own)}, device)
 		}),
 		container.Provide(func(a *node.Agent) nodecmd.Runner { return a }),
 	)
@@ -92,3 +95,10 @@
 	}
 	return tun.Open(cfg)
 }
+
+func newProber(own *agentSettings) probe.Prober {
+	if own.HealthURL != "" {
+		return probe.NewHTTP(own.HealthURL)
+	}
+	return probe.NewConnect(own.Upstream)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"bramleyhold.example/bramleyhold/internal/frame"
 	"bramleyhold.example/bramleyhold/internal/logstore"
 	"bramleyhold.example/bramleyhold/internal/node"
+	"bramleyhold.example/bramleyhold/internal/probe"
 	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/standin"
 	"bramleyhold.example/bramleyhold/internal/telemetry"
@@ -332,6 +333,7 @@
 	cfg := node.AgentConfig{
 		Config: f.nodeConfig(id, index), Aliases: f.Plan.aliases(n),
 		Upstream: netip.AddrPortFrom(f.Plan.serverAddress(n), upstreamPort),
+		Prober:   probe.NewHTTP(fmt.Sprintf("http://%s:%d/health", f.Plan.serverAddress(n), upstreamPort)),
 	}
 	cfg.Service = s
 	a, err := node.NewAgent(cfg, device)
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -20,6 +20,7 @@
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/packet"
 	"bramleyhold.example/bramleyhold/internal/peer"
+	"bramleyhold.example/bramleyhold/internal/probe"
 	"bramleyhold.example/bramleyhold/internal/rpc"
 	"bramleyhold.example/bramleyhold/internal/telemetry"
 	"bramleyhold.example/bramleyhold/internal/udplink"
@@ -37,20 +38,24 @@
 	Upstream netip.AddrPort
 	// Aliases is the prefix from which flows get their alias.
 	Aliases netip.Prefix
+	// Prober asks the upstream how it is; nil takes it for healthy.
+	Prober probe.Prober
 }
 
 // Agent runs one agent.
 type Agent struct {
 	*base
 	// life is the core of the current incarnation.
-	life   atomic.Pointer[agent.Core]
-	config AgentConfig
-	device Device
+	life     atomic.Pointer[agent.Core]
+	config   AgentConfig
+	device   Device
+	upstream *upstreamHealth
 
 	stopping atomic.Bool
-	// imported and ready are used by the ticking goroutine only.
+	// imported, ready and cold are used by the ticking goroutine only.
 	imported bool
 	ready    bool
+	cold     time.Time
 
 	mu   sync.Mutex
 	held map[uint64]heldPacket
@@ -68,7 +73,7 @@
 	cfg.Role = vm.RoleUpstream
 	cfg.setDefaults()
 	cfg.Incarnation = afterHandoff(&cfg)
-	a := &Agent{config: cfg, device: device, held: map[uint64]heldPacket{}}
+	a := &Agent{config: cfg, device: device, upstream: newUpstreamHealth(cfg.Prober), held: map[uint64]heldPacket{}}
 	a.life.Store(newLife(&cfg, cfg.Incarnation))
 	common, err := newBase(cfg.Config, view.Starting, func(v *view.View) { a.core().SetView(v) }, a.operatorMethods())
 	if err != nil {
@@ -105,6 +110,7 @@
 	group.Go(func() error { return a.transport.receive(a.newWorker()) })
 	group.Go(a.readUpstream)
 	group.Go(func() error { return a.tick(ctx) })
+	group.Go(func() error { return a.runProbes(ctx) })
 	return group.Wait()
 }
 
--- a/internal/node/handoff.go
+++ b/internal/node/handoff.go
@@ -18,7 +18,7 @@
 const handoffFileName = "flows.cbor"
 
 // advanceStart imports the flows of the earlier life once there is a view, and
-// announces the agent as ready when the recovery from its peers has ended.
+// announces whether the agent is ready.
 func (a *Agent) advanceStart(now time.Time) {
 	if next := a.liveness.pendingIncarnation(); next != 0 {
 		a.renew(now, next)
@@ -32,14 +32,32 @@
 			a.cfg.Log.WithError(err).Error("flows of the earlier life could not be read from the data folder")
 		}
 	}
-	if !a.ready && !a.core().Recovering() {
-		a.ready = true
-		established, halfOpen := a.core().Flows()
-		a.cfg.Log.WithFields(logrus.Fields{"flows": established, "half_open": halfOpen}).Info("ready")
-		a.liveness.announce(view.Ready)
+	if !a.core().Draining() {
+		a.announceReadiness()
 	}
 }
 
+// coldTolerance is the change of the end of a slow start that is announced. The
+// upstream reports the remaining time, so that each report moves it a little.
+const coldTolerance = 2 * time.Second
+
+// announceReadiness announces the agent as ready when its flows are recovered
+// and its upstream may get new work, and as starting when that ends.
+func (a *Agent) announceReadiness() {
+	ready, cold := !a.core().Recovering() && a.upstream.takesWork(), a.upstream.coldUntil()
+	if ready == a.ready && (!ready || cold.Sub(a.cold).Abs() < coldTolerance) {
+		return
+	}
+	a.ready, a.cold = ready, cold
+	status := view.Starting
+	if ready {
+		status = view.Ready
+	}
+	established, halfOpen := a.core().Flows()
+	a.cfg.Log.WithFields(logrus.Fields{"status": string(status), "flows": established, "half_open": halfOpen}).Info("status announced")
+	a.liveness.announceUpstream(status, cold)
+}
+
 // renew starts a life with a greater incarnation, which takes over the flows of
 // the current one as after a planned restart. Peers drop what the current one
 // sends, because they know a later incarnation.
--- a/internal/node/liveness.go
+++ b/internal/node/liveness.go
@@ -170,6 +170,15 @@
 	l.do(func(now time.Time) membership.Output { return l.node.Handle(now, from, body) })
 }
 
+// announceUpstream changes the own status and the end of the slow start.
+func (l *liveness) announceUpstream(status view.Status, coldUntil time.Time) {
+	l.do(func(now time.Time) membership.Output {
+		self := l.node.Self()
+		self.Status, self.ColdUntil = status, coldUntil
+		return l.node.Announce(now, self)
+	})
+}
+
 // announce changes the own status.
 func (l *liveness) announce(status view.Status) {
 	l.do(func(now time.Time) membership.Output {
