A planned stop finishes every request that was read before it

Cause: a request was refused as "stopping" when its handler started after the stop had begun, although it had been read before. Change: rpc decides in the order of reading whether a request arrived after Drain; control refuses only those. New checks: a request that outlives the loss of its majority, a dry run that must not be remembered, one subscription per connection.

--- a/internal/control/replicas_test.go
+++ b/internal/control/replicas_test.go
@@ -107,6 +107,30 @@
 	require.EqualValues(t, 2, state.Revision)
 }
 
+// Guards against a request that hangs until its time limit after its leader has
+// lost the majority, although a leader is back before.
+func TestRequestOutlivesTheMajority(t *testing.T) {
+	f := newFleet(t, 3)
+	f.start()
+	f.operator(inventory("inventory", 0), "c1")
+	leader := f.leader()
+	others := []vm.ID{}
+	for id := range f.peers {
+		if id != leader {
+			others = append(others, id)
+			f.stops[id]()
+		}
+	}
+	conn := f.dial(leader, nil)
+	waiter, err := conn.DispatchCall(context.Background(), controlapi.IntentPropose, controlapi.ProposeRequest{Change: traffic("a", 1, true)})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return f.servers[leader].Status().Replica.Leader == "" }, patience, time.Millisecond)
+	f.start(others...)
+	var result intent.Result
+	require.NoError(t, waiter.Wait(context.Background(), &result))
+	require.Equal(t, intent.Result{Outcome: intent.Accepted, Revision: 2}, result)
+}
+
 // Guards against a replica that does not come back after the loss of its disk,
 // or loses changes when a second one is lost right after the repair.
 func TestDiskLossAndSecondLoss(t *testing.T) {
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -153,7 +153,7 @@
 // leader. It tries again while leadership changes, which is safe because reads
 // change nothing and changes carry an operation id.
 func (s *Server) throughLeader(ctx context.Context, method string, request, result any, here func(context.Context) error) error {
-	if s.stopping.Load() {
+	if rpc.ArrivedLate(ctx) {
 		return codeError(controlapi.CodeUnavailable, "this replica is stopping", nil)
 	}
 	params, err := json.Marshal(request)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -171,6 +171,7 @@
 // limit of its own: requests are bounded by RequestTimeout.
 func (s *Server) drain(ctx context.Context) error {
 	s.stopping.Store(true)
+	s.rpc.Drain()
 	s.waitFor("another replica to take the lead")
 	s.handOver(ctx)
 	s.waitFor(fmt.Sprintf("%d requests in progress", s.rpc.InProgress()))
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -188,6 +188,7 @@
 
 // subscriber applies all updates in order, as a node does.
 type subscriber struct {
+	conn      *rpc.Conn
 	mu        sync.Mutex
 	state     *intent.State
 	err       error
@@ -263,20 +264,24 @@
 	f.leader()
 	conn := f.dial("c1", nil)
 	s := &subscriber{}
-	f.subscribe("c1", s)
+	s.conn = f.subscribe("c1", s)
 
 	var unnamed intent.Result
 	err := conn.Call(context.Background(), controlapi.IntentPropose, controlapi.ProposeRequest{Change: inventory("", 0)}, &unnamed)
 	require.Equal(t, controlapi.CodeInvalid, codeOf(err))
-	dry := call[intent.Result](t, conn, controlapi.IntentPropose, controlapi.ProposeRequest{Change: inventory("a", 0), DryRun: true})
+	dry := call[intent.Result](t, conn, controlapi.IntentPropose, controlapi.ProposeRequest{Change: inventory("dry", 0), DryRun: true})
 	require.Equal(t, intent.Accepted, dry.Outcome)
 	first := propose(t, conn, inventory("a", 0))
 	require.Equal(t, intent.Result{Outcome: intent.Accepted, Revision: 1}, first)
+	require.Equal(t, intent.Conflict, propose(t, conn, inventory("dry", 0)).Outcome, "a dry run must not be remembered")
 	lost := propose(t, conn, inventory("b", 0))
 	require.Equal(t, intent.Conflict, lost.Outcome)
 	require.Equal(t, "a", lost.Winner.OperationID)
 	require.EqualValues(t, 2, propose(t, conn, traffic("c", 1, false)).Revision)
 	s.waitFor(t, 2)
+	call[controlapi.IntentUpdate](t, s.conn, controlapi.IntentSubscribe, controlapi.SubscribeRequest{Revision: 2})
+	require.Eventually(t, func() bool { return f.servers["c1"].Status().Counters["control.subscribers"] == 1 }, patience, time.Millisecond,
+		"a second subscription of a connection replaces the first")
 
 	f.stops["c1"]()
 	f.start("c1")
--- a/internal/rpc/handler.go
+++ b/internal/rpc/handler.go
@@ -40,8 +40,9 @@
 func (h *methodHandler) Handle(ctx context.Context, conn *Conn, request *jsonrpc2.Request) {
 	calls, counted := ctx.Value(callsKey{}).(*calls)
 	counted = counted && !request.Notif
-	if counted {
-		calls.begin()
+	// This runs in the order in which requests were read, unlike the answers.
+	if counted && calls.begin() {
+		ctx = context.WithValue(ctx, lateKey{}, true)
 	}
 	answer := func() {
 		h.answer(ctx, conn, request)
@@ -111,19 +112,37 @@
 	return value, nil
 }
 
+type lateKey struct{}
+
+// ArrivedLate reports whether a request was read after Server.Drain was called.
+// Its handler can refuse it; earlier requests have to be finished.
+func ArrivedLate(ctx context.Context) bool {
+	late, _ := ctx.Value(lateKey{}).(bool)
+	return late
+}
+
 type callsKey struct{}
 
 // calls counts the requests in progress of a server.
 type calls struct {
-	mu    sync.Mutex
-	count int
-	idle  chan struct{}
+	mu       sync.Mutex
+	count    int
+	draining bool
+	idle     chan struct{}
 }
 
-func (c *calls) begin() {
+// begin reports whether the server is draining.
+func (c *calls) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.count++
+	return c.draining
+}
+
+func (c *calls) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining = true
 }
 
 func (c *calls) end() {
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -153,10 +153,14 @@
 // InProgress returns the number of requests in progress.
 func (s *Server) InProgress() int { return s.calls.inProgress() }
 
+// Drain marks all requests that are read from now on; see ArrivedLate.
+func (s *Server) Drain() { s.calls.drain() }
+
 // Shutdown stops accepting, waits until no request is in progress or the
 // context ends, and closes all connections. Connections that are already open
-// can still bring requests; handlers refuse them if they are to end soon.
+// can still bring requests; handlers refuse those that ArrivedLate reports.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.Drain()
 	err := s.listener.Close()
 	waitErr := s.calls.wait(ctx)
 	return errors.Join(err, waitErr, s.Close())
--- a/internal/rpc/server_test.go
+++ b/internal/rpc/server_test.go
@@ -69,6 +69,8 @@
 		close(entered)
 		<-release
 		return "finished", nil
+	}, "late": func(ctx context.Context, _ *rpc.Conn, _ json.RawMessage) (any, error) {
+		return rpc.ArrivedLate(ctx), nil
 	}}, nil)
 	conn := dial(t, s, nil)
 	answer := make(chan error, 1)
@@ -76,6 +78,7 @@
 	go func() { answer <- conn.Call(context.Background(), "slow", nil, &result) }()
 	<-entered
 	require.Equal(t, 1, s.InProgress())
+	require.False(t, callLate(t, conn), "a request before the stop must not be refused")
 	stopped := make(chan error, 1)
 	go func() { stopped <- s.Shutdown(context.Background()) }()
 	require.Eventually(t, func() bool {
@@ -86,12 +89,19 @@
 		return err != nil
 	}, 10*time.Second, time.Millisecond)
 	require.Empty(t, stopped)
+	require.True(t, callLate(t, conn))
 	close(release)
 	require.NoError(t, <-answer)
 	require.Equal(t, "finished", result)
 	require.NoError(t, <-stopped)
 }
 
+func callLate(t *testing.T, conn *rpc.Conn) (late bool) {
+	t.Helper()
+	require.NoError(t, conn.Call(context.Background(), "late", nil, &late))
+	return late
+}
+
 // Guards against notifications that overtake the response that announces them.
 func TestFollowUpComesAfterTheResponse(t *testing.T) {
 	s := serve(t, rpc.Methods{"subscribe": func(ctx context.Context, conn *rpc.Conn, _ json.RawMessage) (any, error) {
