--- a/internal/agent/drain_test.go
+++ b/internal/agent/drain_test.go
@@ -185,3 +185,48 @@
 	require.Empty(t, x.resets)
 	require.Len(t, x.executed, 40)
 }
+
+// Guards against packets that are forwarded to a suspected member, which may be
+// dead, while a member that answers holds their flow.
+func TestSuspectedMemberComesLast(t *testing.T) {
+	s := tcpSetup()
+	s.nodes, s.slots = 5, 20
+	x := newExchange(t, s)
+	callers := x.fill(0, 30)
+	x.node(2).down = true
+	x.status(2, view.Suspected)
+	x.spread()
+	for _, n := range x.nodes {
+		n.core.peers = newRegistry(n.core.cfg.Limits.Registrations) // All registrations are lost.
+	}
+	want := 0
+	for _, c := range callers {
+		if c.holder() == nil {
+			continue
+		}
+		want++
+		p := heldPacket{m: c.meta(packet.ACK, 10)}
+		p.h.Service, p.h.Origin = 1, x.origin()
+		x.frame(x.node(0), p)
+	}
+	x.run(10 * linkDelay)
+	require.Len(t, x.executed, want)
+}
+
+// Guards against openings that are lost while the placer asks a home that is
+// suspected and may be dead.
+func TestProbeSkipsSuspectedHome(t *testing.T) {
+	s := tcpSetup()
+	s.nodes, s.slots = 4, 20
+	x := newExchange(t, s)
+	dead := 0
+	for dead == x.svc().Placer(0) {
+		dead++
+	}
+	x.node(dead).down = true
+	x.status(dead, view.Suspected)
+	x.spread()
+	for _, c := range x.fill(0, 30) {
+		require.NotNil(t, c.holder())
+	}
+}
--- a/internal/agent/opening.go
+++ b/internal/agent/opening.go
@@ -91,12 +91,13 @@
 }
 
 // probeHome asks the home of a flow whether it is registered, while views may
-// differ. It reports whether the opening was sent there.
+// differ. In place of a suspected home it asks the next in rank, which keeps a
+// registration as well. It reports whether the opening was sent there.
 func (c *Core) probeHome(a *arrival, out *Actions) bool {
 	if a.h.Flags.Has(frame.FlagProbed) || a.now.Sub(a.svc.ChangedAt) >= GracePeriod {
 		return false
 	}
-	home := a.svc.Home(a.hash)
+	home := a.svc.Next(a.hash, suspected(a.svc))
 	if home < 0 || a.svc.Hashes[home] == c.selfHash {
 		return false
 	}
--- a/internal/agent/walk.go
+++ b/internal/agent/walk.go
@@ -68,7 +68,11 @@
 // forwardNext passes a packet along the ranking of its flow.
 func (c *Core) forwardNext(a *arrival, out *Actions) {
 	tried := a.svc.Tried(a.h.Tried[:]) | c.selfBit(a.svc)
-	next := a.svc.Next(a.hash, tried)
+	// A suspected member may be dead; it is asked after all others.
+	next := a.svc.Next(a.hash, tried|suspected(a.svc))
+	if next < 0 {
+		next = a.svc.Next(a.hash, tried)
+	}
 	if next >= 0 && a.h.Hops < frame.MaxHops {
 		header := *a.h
 		header.Flags &^= frame.FlagHinted
@@ -79,6 +83,17 @@
 	c.endOfWalk(a, out)
 }
 
+// suspected returns a bit for each suspected member.
+func suspected(svc *view.Service) uint64 {
+	var mask uint64
+	for i := range svc.Members {
+		if svc.Members[i].Status == view.Suspected {
+			mask |= 1 << uint(i)
+		}
+	}
+	return mask
+}
+
 // endOfWalk decides about a packet of a flow that nobody holds. While views may
 // differ it is dropped, since the sender retransmits it.
 func (c *Core) endOfWalk(a *arrival, out *Actions) {
