lifecycle: a control VM that sees only itself forgets nothing

Cause: the leader counted its own VM as evidence that its zone is seen. After a restart behind a partition it would have forgotten the retired VMs of its zone, and of zones without other VMs, after 1 h although they held flows.

Change: control VMs do not count as evidence, and a zone without VMs of the inventory is seen only while another zone is.

Checks: go test -race -count=3 of lifecycle passes; with the earlier code two of the three new cases fail.

Conclusion: only a leader that sees balancers or upstreams forgets VMs.

--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"time"
 
 	"bramleyhold.example/bramleyhold/internal/intent"
@@ -103,23 +102,26 @@
 	return "", false
 }
 
-// visibleZones returns the zones in which a VM of the inventory is alive, and
-// those in which the inventory has none, so that nothing can be seen.
+// visibleZones returns the zones in which a VM of the inventory is alive. A zone
+// in which the inventory has none left is visible as long as another one is.
+// Control VMs do not count: each one sees itself, even if it sees nothing else.
 func visibleZones(state *intent.State, known map[vm.ID]view.Status) map[zone.ID]bool {
 	seen := map[zone.ID]bool{}
+	visible := false
 	for i := range state.VMs {
-		if state.VMs[i].Status == intent.Retired {
-			seen[state.VMs[i].Zone] = true
+		machine := &state.VMs[i]
+		if machine.Status == intent.Retired || machine.Role == vm.RoleControl {
+			continue
 		}
+		alive := isAlive(known[machine.ID])
+		seen[machine.Zone] = seen[machine.Zone] || alive
+		visible = visible || alive
 	}
-	listed := map[zone.ID]bool{}
 	for i := range state.VMs {
-		machine := &state.VMs[i]
-		if machine.Status != intent.Retired {
-			listed[machine.Zone] = listed[machine.Zone] || isAlive(known[machine.ID])
+		if _, listed := seen[state.VMs[i].Zone]; !listed {
+			seen[state.VMs[i].Zone] = visible
 		}
 	}
-	maps.Copy(seen, listed)
 	return seen
 }
 
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -97,6 +97,27 @@
 	require.Equal(t, []intent.ForgottenVM{{VM: "lone", Reason: "not seen for 1h0m10s"}}, due)
 }
 
+// Guards against a control VM that sees only itself, for example after a restart
+// behind a partition, and takes all retired VMs for gone.
+func TestNothingIsForgottenByALoneControlVM(t *testing.T) {
+	control := machine("c1", "z", intent.Active)
+	control.Role = vm.RoleControl
+	state := fleet(control, machine("lone", "closed", intent.Retired))
+	for name, c := range map[string]struct {
+		peer view.Status
+		due  int
+	}{"sees only itself": {"", 0}, "holds the others for failed": {view.Failed, 0}, "sees the zone": {view.Ready, 2}} {
+		t.Run(name, func(t *testing.T) {
+			tracker, now := NewTracker(), time.Unix(1000, 0)
+			for end := now.Add(2 * GoneAfter); !now.After(end); now = now.Add(ReviewInterval) {
+				seen := append(members(phase{peer: c.peer}), view.Member{VM: "c1", Role: vm.RoleControl, Status: view.Ready})
+				tracker.Review(now, state, seen)
+			}
+			require.Len(t, tracker.Propose(now, state), c.due)
+		})
+	}
+}
+
 // Guards against a flood of revisions, with each of which the changes of
 // operators conflict, and against evidence from before a pause.
 func TestProposeIsBounded(t *testing.T) {
