--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -20,7 +20,8 @@
 	// inner packet protects the payload against corruption.
 	coveredBytes = 96
 
-	prefixBytes    = 2
+	// prefixBytes is version, kind and header length.
+	prefixBytes    = 3
 	packetTagBytes = 8
 	peerTagBytes   = 16
 )
@@ -65,8 +66,8 @@
 	errBadTag     = &Error{Reason: BadTag}
 )
 
-// Seal appends a frame to dst and returns it. The layout is version, header
-// length, header, tag, body.
+// Seal appends a frame to dst and returns it. The layout is version, kind,
+// header length, header, tag, body.
 func (k *Keys) Seal(dst []byte, h *Header, body []byte) ([]byte, error) {
 	secret, ok := k.Secrets[k.Current]
 	if !ok {
@@ -74,16 +75,42 @@
 	}
 	h.KeyID = k.Current
 	start := len(dst)
-	dst = append(dst, Version, 0)
-	dst, err := h.MarshalMsg(dst)
+	dst = append(dst, Version, byte(h.Kind), 0)
+	dst, err := appendHeader(dst, h)
 	if err != nil {
 		return dst[:start], err
 	}
-	dst[start+1] = byte(len(dst) - start - prefixBytes)
+	dst[start+prefixBytes-1] = byte(len(dst) - start - prefixBytes)
 	dst = appendTag(dst, &secret, h.Kind, dst[start:], body)
 	return append(dst, body...), nil
 }
 
+func appendHeader(dst []byte, h *Header) ([]byte, error) {
+	if h.Kind == KindPacket {
+		return h.MarshalMsg(dst)
+	}
+	short := MessageHeader{KeyID: h.KeyID}
+	return short.MarshalMsg(dst)
+}
+
+// readHeader fills h from the encoded header of a kind.
+func readHeader(h *Header, kind Kind, b []byte) error {
+	var rest []byte
+	var err error
+	if kind == KindPacket {
+		rest, err = h.UnmarshalMsg(b)
+	} else {
+		var short MessageHeader
+		rest, err = short.UnmarshalMsg(b)
+		*h = Header{KeyID: short.KeyID}
+	}
+	if err != nil || len(rest) != 0 {
+		return errBadHeader
+	}
+	h.Kind = kind
+	return nil
+}
+
 // Open checks a frame, fills h and returns the body, which is part of b.
 func (k *Keys) Open(b []byte, h *Header) ([]byte, error) {
 	if len(b) < prefixBytes {
@@ -92,26 +119,23 @@
 	if b[0] != Version {
 		return nil, errBadVersion
 	}
-	end := prefixBytes + int(b[1])
-	if len(b) < end {
+	kind, end := Kind(b[1]), prefixBytes+int(b[2])
+	size := tagBytes(kind)
+	if size == 0 {
+		return nil, errBadHeader
+	}
+	if len(b) < end+size {
 		return nil, errTruncated
 	}
-	if rest, err := h.UnmarshalMsg(b[prefixBytes:end]); err != nil || len(rest) != 0 {
-		return nil, errBadHeader
+	if err := readHeader(h, kind, b[prefixBytes:end]); err != nil {
+		return nil, err
 	}
 	secret, ok := k.Secrets[h.KeyID]
 	if !ok {
 		return nil, errUnknownKey
 	}
-	size := tagBytes(h.Kind)
-	if size == 0 {
-		return nil, errBadHeader
-	}
-	if len(b) < end+size {
-		return nil, errTruncated
-	}
 	body := b[end+size:]
-	if !validTag(&secret, h.Kind, b[:end], b[end:end+size], body) {
+	if !validTag(&secret, kind, b[:end], b[end:end+size], body) {
 		return nil, errBadTag
 	}
 	return body, nil
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -20,6 +20,9 @@
 func TestSealOpenRoundTrip(t *testing.T) {
 	for _, kind := range []Kind{KindPacket, KindPeer, KindGossip} {
 		h, body := testHeader(kind), bytes.Repeat([]byte{9}, 200)
+		if kind != KindPacket {
+			h = Header{Kind: kind}
+		}
 		sealed, err := testKeys().Seal(nil, &h, body)
 		require.NoError(t, err)
 		if kind == KindPacket {
@@ -50,7 +53,7 @@
 		"header cut":    {testKeys(), good[:20], Truncated},
 		"tag cut":       {testKeys(), good[:len(good)-70], Truncated},
 		"version":       {testKeys(), flip(0), BadVersion},
-		"header length": {testKeys(), append([]byte{Version, 3}, good[2:]...), BadHeader},
+		"header length": {testKeys(), append([]byte{Version, byte(KindPacket), 3}, good[3:]...), BadHeader},
 		"body forged":   {testKeys(), flip(len(good) - 1), BadTag},
 		"unknown key":   {other, good, UnknownKey},
 		"header forged": {testKeys(), flip(5), BadTag},
--- a/internal/frame/header.go
+++ b/internal/frame/header.go
@@ -51,10 +51,18 @@
 
 //msgp:tuple Trace
 //msgp:tuple Header
+//msgp:tuple MessageHeader
 
-// Header precedes every packet and message between VMs.
+// MessageHeader precedes peer messages and gossip on the wire. They need none
+// of the fields for packets, and nodes may send only few bytes a second.
+type MessageHeader struct {
+	KeyID uint8
+}
+
+// Header precedes every packet between VMs.
 type Header struct {
-	Kind   Kind
+	// Kind is sent outside of the encoded header.
+	Kind   Kind `msg:"-"`
 	KeyID  uint8
 	Hops   uint8
 	Passes uint8
--- a/internal/frame/header_gen.go
+++ b/internal/frame/header_gen.go
@@ -37,9 +37,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Header) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 12
-	o = append(o, 0x9c)
-	o = msgp.AppendUint8(o, uint8(z.Kind))
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendUint8(o, z.KeyID)
 	o = msgp.AppendUint8(o, z.Hops)
 	o = msgp.AppendUint8(o, z.Passes)
@@ -69,19 +68,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 12 {
-		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
-	{
-		var zb0002 uint8
-		zb0002, bts, err = msgp.ReadUint8Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Kind")
-			return
-		}
-		z.Kind = Kind(zb0002)
-	}
 	z.KeyID, bts, err = msgp.ReadUint8Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "KeyID")
@@ -98,13 +88,13 @@
 		return
 	}
 	{
-		var zb0003 uint8
-		zb0003, bts, err = msgp.ReadUint8Bytes(bts)
+		var zb0002 uint8
+		zb0002, bts, err = msgp.ReadUint8Bytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Flags")
 			return
 		}
-		z.Flags = Flags(zb0003)
+		z.Flags = Flags(zb0002)
 	}
 	z.Service, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
@@ -121,14 +111,14 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
-	var zb0004 uint32
-	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Tried")
 		return
 	}
-	if zb0004 != uint32(MaxHops) {
-		err = msgp.ArrayError{Wanted: uint32(MaxHops), Got: zb0004}
+	if zb0003 != uint32(MaxHops) {
+		err = msgp.ArrayError{Wanted: uint32(MaxHops), Got: zb0003}
 		return
 	}
 	for za0001 := range z.Tried {
@@ -148,14 +138,14 @@
 		err = msgp.WrapError(err, "Placement")
 		return
 	}
-	var zb0005 uint32
-	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Trace")
 		return
 	}
-	if zb0005 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0005}
+	if zb0004 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0004}
 		return
 	}
 	z.Trace.High, bts, err = msgp.ReadUint64Bytes(bts)
@@ -179,7 +169,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Header) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.Uint8Size + msgp.Uint8Size + msgp.Uint8Size + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint64Size + msgp.ArrayHeaderSize + (MaxHops * (msgp.Uint32Size)) + msgp.Uint64Size + msgp.Uint32Size + 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size
+	s = 1 + msgp.Uint8Size + msgp.Uint8Size + msgp.Uint8Size + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint64Size + msgp.ArrayHeaderSize + (MaxHops * (msgp.Uint32Size)) + msgp.Uint64Size + msgp.Uint32Size + 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
@@ -211,6 +201,42 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z MessageHeader) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendUint8(o, z.KeyID)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *MessageHeader) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.KeyID, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "KeyID")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z MessageHeader) Msgsize() (s int) {
+	s = 1 + msgp.Uint8Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Trace) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/measure/machine.go
+++ b/internal/measure/machine.go
@@ -22,7 +22,7 @@
 	// datagramBytes is what IPv4 and UDP add to a frame.
 	datagramBytes = 28
 	peerTagBytes  = 16
-	framePrefix   = 2
+	framePrefix   = 3
 )
 
 // entry decides for a balancer.
@@ -217,7 +217,7 @@
 	if err != nil {
 		panic(err)
 	}
-	h := frame.Header{Kind: frame.KindPeer}
+	var h frame.MessageHeader
 	header, err := h.MarshalMsg(nil)
 	if err != nil {
 		panic(err)
