Count subscriptions, so that the check for a replaced one cannot pass early

Cause: the check could read the number of subscribers before the second one was counted. Change: a counter of all subscriptions; the check waits for both numbers.

--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -280,8 +280,10 @@
 	require.EqualValues(t, 2, propose(t, conn, traffic("c", 1, false)).Revision)
 	s.waitFor(t, 2)
 	call[controlapi.IntentUpdate](t, s.conn, controlapi.IntentSubscribe, controlapi.SubscribeRequest{Revision: 2})
-	require.Eventually(t, func() bool { return f.servers["c1"].Status().Counters["control.subscribers"] == 1 }, patience, time.Millisecond,
-		"a second subscription of a connection replaces the first")
+	require.Eventually(t, func() bool {
+		counters := f.servers["c1"].Status().Counters
+		return counters["control.subscriptions"] == 2 && counters["control.subscribers"] == 1
+	}, patience, time.Millisecond, "a second subscription of a connection replaces the first")
 
 	f.stops["c1"]()
 	f.start("c1")
--- a/internal/control/subscribe.go
+++ b/internal/control/subscribe.go
@@ -66,6 +66,7 @@
 	subscribers := metrics.GetOrRegisterCounter("control.subscribers", s.registry)
 	subscribers.Inc(1)
 	defer subscribers.Dec(1)
+	metrics.GetOrRegisterCounter("control.subscriptions", s.registry).Inc(1)
 	for {
 		v := s.replica.view()
 		update, err := v.machine.update(revision)
