--- a/cmd/bramley-control/wire.go
+++ b/cmd/bramley-control/wire.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
@@ -48,7 +49,8 @@
 	if err != nil {
 		return err
 	}
-	err = container.Invoke(func(log *logrus.Entry, server *control.Server, observer *node.Observer, http *telemetry.Server) error {
+	err = container.Invoke(func(log *logrus.Entry, server *control.Server, observer *node.Observer, http *telemetry.Server, registry metrics.Registry, secrets *nodecmd.Secrets) error {
+		nodecmd.ReportCertificate(log, registry, secrets.Server, time.Now())
 		return runServers(ctx, log, server, observer, http)
 	})
 	return dig.RootCause(err)
@@ -72,11 +74,17 @@
 	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, serving := errgroup.WithContext(serving)
+	stopping, stop := context.WithCancel(ctx)
+	defer stop()
 	group.Go(func() error {
 		defer cancel()
-		return server.Run(ctx)
+		return server.Run(stopping)
+	})
+	// The observer ends by itself if a successor of the VM has taken over.
+	group.Go(func() error {
+		defer stop()
+		return observer.Run(serving)
 	})
-	group.Go(func() error { return observer.Run(serving) })
 	group.Go(func() error { return http.Serve(serving) })
 	err := group.Wait()
 	log.WithField("error", errorText(err)).Info("stopped")
--- a/internal/agent/drain_test.go
+++ b/internal/agent/drain_test.go
@@ -155,3 +155,78 @@
 		})
 	}
 }
+
+// Guards against a reset of a new flow of an upstream that has returned, by a
+// keeper whose view still has its earlier life as failed.
+func TestUpstreamReturned(t *testing.T) {
+	s := tcpSetup()
+	s.nodes, s.slots = 4, 20
+	x := newExchange(t, s)
+	x.node(1).down = true
+	x.status(1, view.Failed)
+	x.spread()
+	x.run(GracePeriod)
+	n := x.restart(1, false)
+	x.status(1, view.Ready)
+	old := x.view
+	x.spread()
+	for _, other := range x.nodes {
+		if x.svc().Placer(0) != x.svc().Index(other.id) && other != n {
+			other.core.state.Store(other.core.newState(old, nil))
+		}
+	}
+	callers := x.fill(0, 40)
+	for _, c := range callers {
+		delete(x.hints, c.key)
+		c.request(10)
+	}
+	established, _ := n.core.Flows()
+	require.NotZero(t, established)
+	require.Empty(t, x.resets)
+	require.Len(t, x.executed, 40)
+}
+
+// Guards against packets that are forwarded to a suspected member, which may be
+// dead, while a member that answers holds their flow.
+func TestSuspectedMemberComesLast(t *testing.T) {
+	s := tcpSetup()
+	s.nodes, s.slots = 5, 20
+	x := newExchange(t, s)
+	callers := x.fill(0, 30)
+	x.node(2).down = true
+	x.status(2, view.Suspected)
+	x.spread()
+	for _, n := range x.nodes {
+		n.core.peers = newRegistry(n.core.cfg.Limits.Registrations) // All registrations are lost.
+	}
+	want := 0
+	for _, c := range callers {
+		if c.holder() == nil {
+			continue
+		}
+		want++
+		p := heldPacket{m: c.meta(packet.ACK, 10)}
+		p.h.Service, p.h.Origin = 1, x.origin()
+		x.frame(x.node(0), p)
+	}
+	x.run(10 * linkDelay)
+	require.Len(t, x.executed, want)
+}
+
+// Guards against openings that are lost while the placer asks a home that is
+// suspected and may be dead.
+func TestProbeSkipsSuspectedHome(t *testing.T) {
+	s := tcpSetup()
+	s.nodes, s.slots = 4, 20
+	x := newExchange(t, s)
+	dead := 0
+	for dead == x.svc().Placer(0) {
+		dead++
+	}
+	x.node(dead).down = true
+	x.status(dead, view.Suspected)
+	x.spread()
+	for _, c := range x.fill(0, 30) {
+		require.NotNil(t, c.holder())
+	}
+}
--- a/internal/agent/walk.go
+++ b/internal/agent/walk.go
@@ -25,15 +25,21 @@
 // forwardRegistered sends a packet to the holder that has registered the flow
 // here, and hints the balancer. It reports whether there is one.
 func (c *Core) forwardRegistered(a *arrival, out *Actions) bool {
-	reg, ok := c.peers.find(a.key)
+	reg, ok := c.peers.find(flowRef{hash: a.hash, key: a.key})
 	if !ok || a.h.Hops >= frame.MaxHops {
 		return false
 	}
 	i := a.svc.Index(reg.holder)
-	if i >= 0 && a.svc.Members[i].Status == view.Failed {
+	if i < 0 {
+		return false
+	}
+	// A registration by a later life than the one that failed shows that the
+	// holder has returned and this view is late.
+	returned := reg.record.Incarnation > a.svc.Members[i].Incarnation
+	if a.svc.Members[i].Status == view.Failed && !returned {
 		return c.resetLost(a, out)
 	}
-	if i < 0 || !a.svc.Members[i].Reachable() || a.svc.Tried(a.h.Tried[:])&(1<<uint(i)) != 0 {
+	if (!a.svc.Members[i].Reachable() && !returned) || a.svc.Tried(a.h.Tried[:])&(1<<uint(i)) != 0 {
 		return false
 	}
 	next := *a.h
@@ -62,7 +68,11 @@
 // forwardNext passes a packet along the ranking of its flow.
 func (c *Core) forwardNext(a *arrival, out *Actions) {
 	tried := a.svc.Tried(a.h.Tried[:]) | c.selfBit(a.svc)
-	next := a.svc.Next(a.hash, tried)
+	// A suspected member may be dead; it is asked after all others.
+	next := a.svc.Next(a.hash, tried|suspected(a.svc))
+	if next < 0 {
+		next = a.svc.Next(a.hash, tried)
+	}
 	if next >= 0 && a.h.Hops < frame.MaxHops {
 		header := *a.h
 		header.Flags &^= frame.FlagHinted
@@ -73,6 +83,17 @@
 	c.endOfWalk(a, out)
 }
 
+// suspected returns a bit for each suspected member.
+func suspected(svc *view.Service) uint64 {
+	var mask uint64
+	for i := range svc.Members {
+		if svc.Members[i].Status == view.Suspected {
+			mask |= 1 << uint(i)
+		}
+	}
+	return mask
+}
+
 // endOfWalk decides about a packet of a flow that nobody holds. While views may
 // differ it is dropped, since the sender retransmits it.
 func (c *Core) endOfWalk(a *arrival, out *Actions) {
