agent: ignore load of other services, keep the expiry of repeated claims

Cause: a load report of a VM outside of the service was kept, and each repeated claim added an expiry entry, so that a holder whose answers were lost grew the list of the home without bound.

Change: such reports are dropped and counted; a repeated claim keeps its first expiry.

Conclusion: go test -race ./internal/agent ./internal/peer ./internal/health passes.

--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -129,6 +129,9 @@
 			}
 			return answer
 		}
+		// A repeated claim keeps its expiry.
+		answer.Granted = true
+		return answer
 	}
 	if !ok && len(cl.granted) >= cl.limit {
 		answer.Reason = denialFull
--- a/internal/agent/drain_test.go
+++ b/internal/agent/drain_test.go
@@ -66,10 +66,7 @@
 	c := x.caller(1)
 	c.connect()
 	n := c.holder()
-	i := 0
-	for x.node(i) != n {
-		i++
-	}
+	i := c.holderIndex()
 	n.down = true
 	x.status(i, view.Suspected)
 	x.spread()
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -35,6 +35,8 @@
 		c.handleClaim(now, m.Claim, out)
 	case m.Claimed != nil:
 		c.handleClaimed(now, m.Claimed, out)
+	case m.Load != nil && svc.Index(m.Load.VM) < 0:
+		out.drop(WrongService)
 	case m.Load != nil:
 		c.placement.update(m.Load)
 	}
--- a/internal/agent/recovery_test.go
+++ b/internal/agent/recovery_test.go
@@ -86,14 +86,7 @@
 		c := x.caller(1)
 		c.send(c.meta(packet.SYN, 0))
 		x.run(at)
-		victim := 0
-		if holder := c.holder(); holder != nil {
-			for i := range x.nodes {
-				if x.node(i) == holder {
-					victim = i
-				}
-			}
-		}
+		victim := max(c.holderIndex(), 0)
 		x.crash(victim)
 		x.run(time.Second)
 		x.ready(victim)
@@ -124,10 +117,7 @@
 	}
 	c := x.caller(1)
 	c.connect()
-	i := 0
-	for x.node(i) != c.holder() {
-		i++
-	}
+	i := c.holderIndex()
 	x.crash(i)
 	x.run(RecoveryLimit)
 	x.ready(i)
@@ -145,10 +135,7 @@
 	x := newExchange(t, tcpSetup())
 	c := x.caller(1)
 	c.connect()
-	i := 0
-	for x.node(i) != c.holder() {
-		i++
-	}
+	i := c.holderIndex()
 	n := x.crash(i)
 	x.run(time.Second)
 	require.EqualValues(t, 1, n.core.oldest.Load(), "flows of the first life were taken over")
@@ -226,10 +213,7 @@
 	x := newExchange(t, tcpSetup())
 	c := x.caller(1)
 	c.connect()
-	i := 0
-	for x.node(i) != c.holder() {
-		i++
-	}
+	i := c.holderIndex()
 	n := x.crash(i)
 	x.run(time.Second)
 	x.ready(i)
