membership: bounded tables, ranking of delegates once per round

Cause: a record of the own zone ranked the delegates again, which takes time linear in the zone; made-up zones and members could grow tables and messages. Change: changes are queued for other zones and the ranking is decided once per round; at most 24 zones and 32,768 records. Conclusion: the time to apply a record no longer depends on the zone.

--- a/internal/membership/apply.go
+++ b/internal/membership/apply.go
@@ -45,6 +45,9 @@
 	if in.verdict != alive && !in.agreed() {
 		return nil
 	}
+	if n.zoneByKey(zoneKey(in.member.Zone)) == nil && len(n.zones) >= maxZones {
+		return nil
+	}
 	r := n.records[in.hash]
 	if r == nil {
 		return n.insert(now, in, out)
@@ -65,6 +68,9 @@
 }
 
 func (n *Node) insert(now time.Time, in *record, out *Output) *record {
+	if len(n.records) >= maxRecords {
+		return nil
+	}
 	in.changedAt, in.heardAt = now, now
 	in.member.Service = n.intern(in.member.Service)
 	n.records[in.hash] = in
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -19,6 +19,14 @@
 // kind, the sender, the sequence number and a target take less than 60 bytes.
 const recordBytes = MaxBody - 60
 
+const (
+	// maxZones keeps a ping, with a stamp of at most 15 bytes per zone, below
+	// MaxBody.
+	maxZones = 24
+	// maxRecords bounds the memory: five times the fleet of the design.
+	maxRecords = 1 << 15
+)
+
 // TickInterval is how often Tick must be called.
 const TickInterval = 100 * time.Millisecond
 
--- a/internal/membership/delegate.go
+++ b/internal/membership/delegate.go
@@ -6,17 +6,25 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// queueCross keeps a change of the own zone for the other zones. Only the
-// delegates do that, so that a change crosses each pair of zones at most once
-// per delegate.
+// queueCross keeps a change of the own zone for the other zones. Whether the
+// own process is a delegate is decided once per round: the ranking takes time
+// linear in the zone.
 func (n *Node) queueCross(r *record) {
-	if r.zone != n.self.zone || r.crossQueued || n.delegateRank() < 0 {
+	if r.zone != n.self.zone || r.crossQueued {
 		return
 	}
 	r.crossQueued = true
 	n.cross = append(n.cross, r)
 }
 
+// dropCross forgets the queue of a process that is no delegate.
+func (n *Node) dropCross() {
+	for _, r := range n.cross {
+		r.crossQueued = false
+	}
+	n.cross = nil
+}
+
 func (n *Node) tickDelegate(now time.Time, out *Output) {
 	if now.Before(n.stampAt) {
 		n.crossRound(now, out)
@@ -48,9 +56,13 @@
 	return list
 }
 
-// crossRound sends the queued changes of the own zone to the other zones. A
-// lost zone gets them by repair when it returns.
+// crossRound sends the queued changes of the own zone to the other zones. Only
+// the delegates do that, so that a change crosses each pair of zones at most
+// once per delegate. A lost zone gets them by repair when it returns.
 func (n *Node) crossRound(now time.Time, out *Output) {
+	if len(n.cross) > 0 && n.delegateRank() < 0 {
+		n.dropCross()
+	}
 	if len(n.cross) == 0 || !n.crossRate.refill(now) {
 		return
 	}
--- a/internal/membership/record_test.go
+++ b/internal/membership/record_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -93,3 +94,19 @@
 		})
 	}
 }
+
+// Guards against memory and messages that grow with made-up zones and members.
+func TestTablesAreBounded(t *testing.T) {
+	n := New(Config{Self: testMember("a", 1, 1, view.Ready), Rand: rand.New(rand.NewPCG(1, 1))})
+	for i := range maxRecords + 10 {
+		m := testMember(vm.ID(fmt.Sprint("vm", i)), 1, 1, view.Ready)
+		m.Zone.Name = fmt.Sprint("z", i%(2*maxZones))
+		n.takeRecords(n.sweepAt, &message{Kind: kindGossip, Records: []cbor.RawMessage{testRecord(m, alive)}}, &Output{})
+		n.takeRecords(n.sweepAt, &message{Kind: kindGossip, Records: []cbor.RawMessage{testRecord(testMember(m.VM, 1, 1, view.Ready), alive)}}, &Output{})
+	}
+	require.Len(t, n.zones, maxZones)
+	require.Equal(t, maxRecords, n.Size())
+	for _, m := range []*message{n.digestMessage(), {Kind: kindPing, Seq: 1 << 31, Target: 1 << 63, Stamps: n.stamps(), Records: wireOf(n.self)}} {
+		require.LessOrEqual(t, len(encode(m))+piggybackBytes, MaxBody)
+	}
+}
