--- a/cmd/bramley-agent/main.go
+++ b/cmd/bramley-agent/main.go
@@ -2,13 +2,9 @@
 package main
 
 import (
-	"context"
 	"errors"
-	"io"
 	"net/netip"
-	"os"
 
-	"github.com/urfave/cli/v3"
 	"go.uber.org/dig"
 
 	"bramleyhold.example/bramleyhold/internal/finding"
@@ -50,40 +46,22 @@
 }
 
 func main() {
-	ctx, stop := settings.SignalContext(context.Background())
-	code := run(ctx, os.Args, os.Stdout, os.Stderr)
-	stop()
-	os.Exit(code)
+	own := &agentSettings{}
+	nodecmd.Main(nodecmd.Program{Name: program, Usage: "runs the agent beside one upstream", Own: own, Provide: own.provide})
 }
 
-// run is main with its inputs and outputs as parameters.
-func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	process, common, own := &settings.Process{}, &nodecmd.Node{}, &agentSettings{}
-	set := settings.NewSet(process, common, own)
-	command := &cli.Command{Name: program, Usage: "runs the agent beside one upstream", Writer: stdout}
-	return settings.Run(ctx, args, stderr, command, set, func(ctx context.Context) error {
-		return serve(ctx, stderr, process, common, own)
-	})
-}
-
-// serve builds the program and runs it until the context ends.
-func serve(ctx context.Context, out io.Writer, process *settings.Process, common *nodecmd.Node, own *agentSettings) error {
-	container := dig.New()
-	err := errors.Join(
-		nodecmd.Provide(container, out, program, process, common),
+// provide adds the constructors of this program.
+func (a *agentSettings) provide(container *dig.Container, common *nodecmd.Node) error {
+	return errors.Join(
 		container.Provide(func() (node.Device, error) {
-			return openDevice(common, own)
+			return openDevice(common, a)
 		}),
 		container.Provide(func(cfg node.Config, device node.Device) (*node.Agent, error) {
-			cfg.Service = own.Service
-			return node.NewAgent(node.AgentConfig{Config: cfg, Upstream: own.Upstream, Aliases: own.Aliases, Prober: newProber(own)}, device)
+			cfg.Service = a.Service
+			return node.NewAgent(node.AgentConfig{Config: cfg, Upstream: a.Upstream, Aliases: a.Aliases, Prober: newProber(a)}, device)
 		}),
 		container.Provide(func(a *node.Agent) nodecmd.Runner { return a }),
 	)
-	if err != nil {
-		return err
-	}
-	return nodecmd.Run(ctx, container, process)
 }
 
 // openDevice opens a persistent device, so that the kernel keeps the
--- a/cmd/bramley-balancer/main.go
+++ b/cmd/bramley-balancer/main.go
@@ -2,13 +2,9 @@
 package main
 
 import (
-	"context"
 	"errors"
-	"io"
 	"net/netip"
-	"os"
 
-	"github.com/urfave/cli/v3"
 	"go.uber.org/dig"
 
 	"bramleyhold.example/bramleyhold/internal/finding"
@@ -44,35 +40,17 @@
 }
 
 func main() {
-	ctx, stop := settings.SignalContext(context.Background())
-	code := run(ctx, os.Args, os.Stdout, os.Stderr)
-	stop()
-	os.Exit(code)
+	own := &balancerSettings{}
+	nodecmd.Main(nodecmd.Program{Name: program, Usage: "runs one balancer", Own: own, Provide: own.provide})
 }
 
-// run is main with its inputs and outputs as parameters.
-func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	process, common, own := &settings.Process{}, &nodecmd.Node{}, &balancerSettings{}
-	set := settings.NewSet(process, common, own)
-	command := &cli.Command{Name: program, Usage: "runs one balancer", Writer: stdout}
-	return settings.Run(ctx, args, stderr, command, set, func(ctx context.Context) error {
-		return serve(ctx, stderr, process, common, own)
-	})
-}
-
-// serve builds the program and runs it until the context ends.
-func serve(ctx context.Context, out io.Writer, process *settings.Process, common *nodecmd.Node, own *balancerSettings) error {
-	container := dig.New()
-	err := errors.Join(
-		nodecmd.Provide(container, out, program, process, common),
-		container.Provide(func() (node.Device, error) { return openDevice(common, own) }),
+// provide adds the constructors of this program.
+func (b *balancerSettings) provide(container *dig.Container, common *nodecmd.Node) error {
+	return errors.Join(
+		container.Provide(func() (node.Device, error) { return openDevice(common, b) }),
 		container.Provide(node.NewBalancer),
 		container.Provide(func(b *node.Balancer) nodecmd.Runner { return b }),
 	)
-	if err != nil {
-		return err
-	}
-	return nodecmd.Run(ctx, container, process)
 }
 
 func openDevice(common *nodecmd.Node, own *balancerSettings) (node.Device, error) {
--- a/internal/nodecmd/wire.go
+++ b/internal/nodecmd/wire.go
@@ -81,8 +81,8 @@
 	}, nil
 }
 
-// Provide adds the parts that balancers and agents share to a container.
-func Provide(container *dig.Container, out io.Writer, program string, p *settings.Process, n *Node) error {
+// provide adds the parts that balancers and agents share to a container.
+func provide(container *dig.Container, out io.Writer, program string, p *settings.Process, n *Node) error {
 	return errors.Join(
 		container.Provide(func() (*logrus.Entry, error) { return telemetry.NewLogger(out, program, p.VM, p.LogLevel) }),
 		container.Provide(metrics.NewRegistry),
@@ -94,8 +94,8 @@
 	)
 }
 
-// Run opens the addresses of a program and serves until the context ends.
-func Run(ctx context.Context, container *dig.Container, p *settings.Process) error {
+// run opens the addresses of a program and serves until the context ends.
+func run(ctx context.Context, container *dig.Container, p *settings.Process) error {
 	err := container.Invoke(func(log *logrus.Entry, runner Runner, registry metrics.Registry, traces *Traces, secrets *Secrets) error {
 		ReportCertificate(log, registry, secrets.Server, time.Now())
 		http, err := telemetry.Listen(p.HTTPAddress, telemetry.Handler(registry, runner.Health))
