agent: test claims with views that differ in who is home

Cause: the claim test had one view for all nodes, so it could not show that a new home waits for the grace period.

Change: in odd runs two nodes see a member as failed, and ready again, 5 s before the others.

--- a/internal/agent/claims_test.go
+++ b/internal/agent/claims_test.go
@@ -29,13 +29,32 @@
 	c.x.frame(n, p)
 }
 
+// flap makes two nodes see a member as failed, and again as ready, up to 5 s
+// before the others do.
+func (x *exchange) flap(round, member int) {
+	switch round {
+	case 2:
+		x.status(member, view.Failed)
+		x.spread(x.node(0), x.node(1))
+	case 7:
+		x.status(member, view.Ready)
+		x.spread(x.node(2), x.node(3))
+	case 5, 10:
+		x.spread()
+	}
+}
+
 // Guards against an opening of a non-idempotent service that runs twice: copies
-// that reach every member, with claims lost, repeated, late and out of order.
+// that reach every member, with claims lost, repeated, late and out of order,
+// and for odd seeds with views that differ in who is home.
 func TestClaimRunsOnce(t *testing.T) {
 	for seed := range uint64(5) {
 		x := newExchange(t, claimSetup())
 		sound := x.fault
 		for round := range 12 {
+			if seed%2 == 1 {
+				x.flap(round, int(seed)%4)
+			}
 			c := x.caller(round)
 			x.fault = lossy(seed*100+uint64(round), 0.3, 0.5, 300*time.Millisecond)
 			for range 3 {
@@ -48,6 +67,7 @@
 			x.run(claimTimeout + 200*time.Millisecond)
 			require.LessOrEqual(t, len(x.ranAt[c.key]), 1, "seed %d, round %d", seed, round)
 		}
+		require.GreaterOrEqual(t, len(x.ranAt), 3, "some openings run")
 		require.Empty(t, x.refused, "a copy must not be refused as not run")
 		require.LessOrEqual(t, x.busy(), int64(12), "a slot for each caller")
 		for _, n := range x.nodes {
