--- a/internal/agent/explain_test.go
+++ b/internal/agent/explain_test.go
@@ -18,6 +18,8 @@
 	c := x.caller(1)
 	c.connect()
 	holder := c.holder()
+	// The second keeper gets a flow when it has been confirmed.
+	x.run(confirmInterval + 2*linkDelay)
 	k := holder.core.keepers(x.svc(), testHasher.Hash(c.key))
 	for i, n := range x.nodes {
 		e := n.core.Explain(x.now, c.key)
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -52,6 +52,15 @@
 	t.Helper()
 	u, err := m.update(from)
 	require.NoError(t, err)
+	snapshot, err := m.snapshot()
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(u.Packed), len(snapshot))
+	return unpacked(t, u)
+}
+
+// unpacked returns an update as a subscriber reads it.
+func unpacked(t *testing.T, u controlapi.PackedUpdate) controlapi.IntentUpdate {
+	t.Helper()
 	data, err := json.Marshal(u)
 	require.NoError(t, err)
 	var decoded controlapi.IntentUpdate
@@ -71,7 +80,9 @@
 		"small delta":               {machines: 64, rules: 10, from: 5, changes: 6},
 		"nothing missed":            {machines: 64, rules: 10, from: 11},
 		"ahead of this replica":     {machines: 64, rules: 10, from: 15},
-		"delta larger than state":   {machines: 64, rules: 200, from: 1, snapshot: true},
+		"delta of one kilobyte":     {machines: 64, rules: 10, from: 2, changes: 9},
+		"packed delta":              {machines: 64, rules: 25, from: 3, changes: 23},
+		"delta larger than state":   {machines: 2, rules: 200, from: 1, snapshot: true},
 		"changes no longer kept":    {machines: 64, rules: 20, padding: recentBytes / 10, from: 8, snapshot: true},
 		"latest changes still kept": {machines: 64, rules: 20, padding: 2000, from: 20, changes: 1},
 		"from the start":            {machines: 1, rules: 100, from: 0, snapshot: true},
@@ -109,6 +120,24 @@
 	}
 }
 
+// Guards against a node that rejected a change of a delta and gets the same
+// delta again.
+func TestWholeStateOnRequest(t *testing.T) {
+	m, err := decodeMachine(nil)
+	require.NoError(t, err)
+	m = applied(t, applied(t, m, inventoryOf(64)), rule(1, 0))
+	small, err := m.update(1)
+	require.NoError(t, err)
+	require.Len(t, small.Changes, 1)
+	for from, wanted := range []bool{true, true, false, false} {
+		u, err := m.whole(uint64(from))
+		require.NoError(t, err)
+		require.Empty(t, u.Changes)
+		require.Equal(t, wanted, unpacked(t, u).Snapshot != nil)
+		require.EqualValues(t, max(from, 2), u.ToRevision)
+	}
+}
+
 // Guards against a node that goes back or skips a revision when updates are
 // repeated, late or missing.
 func TestAdvance(t *testing.T) {
@@ -127,6 +156,8 @@
 		require.NoError(t, err)
 		require.Same(t, state, again)
 	}
+	var damaged controlapi.IntentUpdate
+	require.ErrorContains(t, json.Unmarshal([]byte(`{"packed":"H4sI"}`), &damaged), "unpack update")
 	_, err = updateOf(t, m, 4).Advance(&intent.State{Revision: 2})
 	var gap *intent.OrderError
 	require.ErrorAs(t, err, &gap)
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -27,6 +27,9 @@
 	// message.
 	maxFindings   = 1000
 	shownFindings = 5
+	// sampleSize and sampleAlpha weigh a histogram towards the last five minutes.
+	sampleSize  = 1028
+	sampleAlpha = 0.015
 	// retryPause is the pause before a request is tried again while no leader
 	// is known or the known one refuses.
 	retryPause = 50 * time.Millisecond
@@ -41,14 +44,24 @@
 		return nil, err
 	}
 	var result intent.Result
+	started := time.Now()
 	err = s.throughLeader(ctx, controlapi.IntentPropose, request, &result, func(ctx context.Context) error {
 		var err error
 		result, err = s.proposeHere(ctx, request)
 		return err
 	})
+	s.proposeTimes().Update(time.Since(started).Microseconds())
 	return result, err
 }
 
+// proposeTimes holds how long proposals took, in microseconds. A metrics.Timer
+// would add a goroutine that never ends.
+func (s *Server) proposeTimes() metrics.Histogram {
+	return s.registry.GetOrRegister("control.proposals.us", func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}).(metrics.Histogram)
+}
+
 // checkPropose reads a request and reports everything that is wrong with it.
 func checkPropose(ctx context.Context, params json.RawMessage) (controlapi.ProposeRequest, error) {
 	if len(params) > maxInventoryBytes {
@@ -61,6 +74,9 @@
 	if request.Change.Kind != intent.KindInventory && len(params) > maxRuleBytes {
 		return request, tooLarge("change", len(params), maxRuleBytes)
 	}
+	if err := checkKind(&request.Change); err != nil {
+		return request, err
+	}
 	// The certificate says who the operator is; a forwarded request was checked
 	// by the replica that received it.
 	if peer, known := rpc.PeerFromContext(ctx); known && peer.Role == rpc.RoleOperator {
@@ -140,7 +156,7 @@
 // leader. It tries again while leadership changes, which is safe because reads
 // change nothing and changes carry an operation id.
 func (s *Server) throughLeader(ctx context.Context, method string, request, result any, here func(context.Context) error) error {
-	if s.stopping.Load() {
+	if rpc.ArrivedLate(ctx) {
 		return codeError(controlapi.CodeUnavailable, "this replica is stopping", nil)
 	}
 	params, err := json.Marshal(request)
--- a/internal/control/subscribe.go
+++ b/internal/control/subscribe.go
@@ -28,7 +28,12 @@
 	if err != nil {
 		return nil, err
 	}
-	update, err := s.replica.view().machine.update(request.Revision)
+	m := s.replica.view().machine
+	next := m.update
+	if request.Snapshot {
+		next = m.whole
+	}
+	update, err := next(request.Revision)
 	if err != nil {
 		return nil, err
 	}
@@ -66,6 +71,7 @@
 	subscribers := metrics.GetOrRegisterCounter("control.subscribers", s.registry)
 	subscribers.Inc(1)
 	defer subscribers.Dec(1)
+	metrics.GetOrRegisterCounter("control.subscriptions", s.registry).Inc(1)
 	for {
 		v := s.replica.view()
 		update, err := v.machine.update(revision)
@@ -92,10 +98,10 @@
 	}
 }
 
-func (s *Server) countUpdate(u update) {
-	kind := "control.updates.delta"
-	if u.Snapshot != nil {
-		kind = "control.updates.snapshot"
+func (s *Server) countUpdate(u controlapi.PackedUpdate) {
+	kind := "control.updates.plain"
+	if len(u.Packed) > 0 {
+		kind = "control.updates.packed"
 	}
 	metrics.GetOrRegisterCounter(kind, s.registry).Inc(1)
 }
--- a/internal/measure/caller.go
+++ b/internal/measure/caller.go
@@ -83,7 +83,6 @@
 		// sessionTime is the mean life of a long flow.
 		sessionTime = 20 * time.Second
 	)
-	w.begin = w.now.Add(quietTime)
 	for i, s := range w.loads {
 		capacity := float64(s.Upstreams*w.slots()) * w.opts.Load
 		s.rate = capacity / holdingTime.Seconds()
@@ -99,6 +98,9 @@
 
 // duration is the time in which the openings of the main service arrive.
 func (w *world) duration() time.Duration {
+	if w.opts.Duration > 0 {
+		return w.opts.Duration
+	}
 	return time.Duration(float64(w.opts.Flows) / w.loads[0].rate * float64(time.Second))
 }
 
--- a/internal/measure/machine.go
+++ b/internal/measure/machine.go
@@ -18,10 +18,11 @@
 	agentPort    = 4800
 	upstreamPort = 8080
 	tickInterval = 5 * time.Millisecond
+	quietTick    = 100 * time.Millisecond
 	// datagramBytes is what IPv4 and UDP add to a frame.
 	datagramBytes = 28
 	peerTagBytes  = 16
-	framePrefix   = 2
+	framePrefix   = 3
 )
 
 // entry decides for a balancer.
@@ -96,13 +97,21 @@
 		return
 	}
 	m.holder = newHolder(m)
-	started := m.incarnation
-	m.w.every(tickInterval, func() bool {
-		if !m.alive || m.incarnation != started {
-			return false
+	m.tickLater(m.incarnation)
+}
+
+// tickLater ticks the agent until it stops. Before the first opening it ticks
+// less often, which saves most of the time of that part.
+func (m *machine) tickLater(incarnation vm.Incarnation) {
+	interval := tickInterval
+	if m.w.now.Add(quietTick).Before(m.w.begin) {
+		interval = quietTick
+	}
+	m.w.after(interval, func() {
+		if m.alive && m.incarnation == incarnation {
+			m.holder.tick()
+			m.tickLater(incarnation)
 		}
-		m.holder.tick()
-		return true
 	})
 }
 
@@ -168,10 +177,7 @@
 
 // eligible reports whether an upstream may get new work.
 func (m *machine) eligible() bool {
-	if m.server.shedding || m.w.now.Before(m.server.coldUntil) {
-		return false
-	}
-	return m.alive && m.server.up && m.leavingSince.IsZero() && m.announced.Status == view.Ready
+	return !m.server.shedding && m.alive && m.server.up && m.leavingSince.IsZero() && m.announced.Status == view.Ready
 }
 
 // inForce records how long a revision took to reach a node.
@@ -211,7 +217,7 @@
 	if err != nil {
 		panic(err)
 	}
-	h := frame.Header{Kind: frame.KindPeer, Incarnation: uint64(m.incarnation), Epoch: m.state.Revision}
+	var h frame.MessageHeader
 	header, err := h.MarshalMsg(nil)
 	if err != nil {
 		panic(err)
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -20,6 +20,7 @@
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/packet"
 	"bramleyhold.example/bramleyhold/internal/peer"
+	"bramleyhold.example/bramleyhold/internal/probe"
 	"bramleyhold.example/bramleyhold/internal/rpc"
 	"bramleyhold.example/bramleyhold/internal/telemetry"
 	"bramleyhold.example/bramleyhold/internal/udplink"
@@ -37,18 +38,24 @@
 	Upstream netip.AddrPort
 	// Aliases is the prefix from which flows get their alias.
 	Aliases netip.Prefix
+	// Prober asks the upstream how it is; nil takes it for healthy.
+	Prober probe.Prober
 }
 
 // Agent runs one agent.
 type Agent struct {
 	*base
-	core   *agent.Core
-	device Device
+	// life is the core of the current incarnation.
+	life     atomic.Pointer[agent.Core]
+	config   AgentConfig
+	device   Device
+	upstream *upstreamHealth
 
 	stopping atomic.Bool
-	// imported and ready are used by the ticking goroutine only.
+	// imported, ready and cold are used by the ticking goroutine only.
 	imported bool
 	ready    bool
+	cold     time.Time
 
 	mu   sync.Mutex
 	held map[uint64]heldPacket
@@ -65,19 +72,27 @@
 func NewAgent(cfg AgentConfig, device Device) (*Agent, error) {
 	cfg.Role = vm.RoleUpstream
 	cfg.setDefaults()
-	a := &Agent{device: device, held: map[uint64]heldPacket{}}
-	a.core = agent.New(agent.Config{
-		VM: cfg.VM, Service: cfg.Service, Incarnation: cfg.Incarnation,
-		Upstream: cfg.Upstream, Aliases: cfg.Aliases, Hasher: cfg.Hasher, Recover: true, Events: cfg.Events,
-	})
-	common, err := newBase(cfg.Config, view.Starting, a.core.SetView, a.operatorMethods())
+	cfg.Incarnation = afterHandoff(&cfg)
+	a := &Agent{config: cfg, device: device, upstream: newUpstreamHealth(cfg.Prober), held: map[uint64]heldPacket{}}
+	a.life.Store(newLife(&cfg, cfg.Incarnation))
+	common, err := newBase(cfg.Config, view.Starting, func(v *view.View) { a.core().SetView(v) }, a.operatorMethods())
 	if err != nil {
 		return nil, err
 	}
 	a.base = common
+	common.liveness.renewable = false
 	return a, nil
 }
 
+func newLife(cfg *AgentConfig, incarnation vm.Incarnation) *agent.Core {
+	return agent.New(agent.Config{
+		VM: cfg.VM, Service: cfg.Service, Incarnation: incarnation,
+		Upstream: cfg.Upstream, Aliases: cfg.Aliases, Hasher: cfg.Hasher, Recover: true, Events: cfg.Events,
+	})
+}
+
+func (a *Agent) core() *agent.Core { return a.life.Load() }
+
 // Run serves until the context ends. Flows that are left then are written to
 // the data folder, if there is one, for the next life of the agent.
 func (a *Agent) Run(ctx context.Context) error {
@@ -95,6 +110,7 @@
 	group.Go(func() error { return a.transport.receive(a.newWorker()) })
 	group.Go(a.readUpstream)
 	group.Go(func() error { return a.tick(ctx) })
+	group.Go(func() error { return a.runProbes(ctx) })
 	return group.Wait()
 }
 
@@ -109,7 +125,7 @@
 		case now := <-ticker.C:
 			a.advanceStart(now)
 			w.actions.Clear()
-			a.core.Tick(now, &w.actions)
+			a.core().Tick(now, &w.actions)
 			w.execute(nil, nil)
 			w.batchEnd()
 		}
@@ -151,14 +167,14 @@
 	}
 	w.actions.Clear()
 	header, span := w.startSpan(h)
-	w.a.core.HandleFrame(time.Now(), header, &w.meta, &w.actions)
+	w.a.core().HandleFrame(time.Now(), header, &w.meta, &w.actions)
 	w.endSpan(span)
 	w.execute(header, body)
 }
 
 func (w *worker) message(_ netip.AddrPort, m *peer.Message) {
 	w.actions.Clear()
-	w.a.core.HandlePeer(time.Now(), m, &w.actions)
+	w.a.core().HandlePeer(time.Now(), m, &w.actions)
 	w.execute(nil, nil)
 }
 
@@ -180,7 +196,7 @@
 		return
 	}
 	w.actions.Clear()
-	w.a.core.HandleUpstream(time.Now(), &w.meta, &w.actions)
+	w.a.core().HandleUpstream(time.Now(), &w.meta, &w.actions)
 	w.execute(nil, p)
 	w.batchEnd()
 }
@@ -196,11 +212,11 @@
 	if !a.leaving() {
 		return nil
 	}
-	a.core.Drain(time.Now())
+	a.core().Drain(time.Now())
 	a.liveness.announce(view.Leaving)
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
-	for !a.core.Done() {
+	for !a.core().Done() {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -219,11 +235,11 @@
 
 // WaitingFor says what a stopping agent still waits for.
 func (a *Agent) WaitingFor() string {
-	if !a.core.Draining() {
+	if !a.core().Draining() {
 		return ""
 	}
 	var parts []string
-	for _, w := range a.core.WaitingFor() {
+	for _, w := range a.core().WaitingFor() {
 		parts = append(parts, fmt.Sprintf("%d %s", w.Count, w.For))
 	}
 	return strings.Join(parts, ", ")
@@ -246,14 +262,28 @@
 			if err != nil {
 				return nil, err
 			}
-			return a.explain(request), nil
+			return a.explainHeld(request), nil
 		},
 	}
 }
 
 func (a *Agent) agentStatus() controlapi.Status {
 	status := a.status(a.WaitingFor())
-	established, halfOpen := a.core.Flows()
-	status.Upstream = &controlapi.UpstreamStatus{Service: a.cfg.Service, Flows: established, HalfOpen: halfOpen}
+	core := a.core()
+	established, halfOpen := core.Flows()
+	load := core.Load()
+	status.Upstream = &controlapi.UpstreamStatus{
+		Service: a.cfg.Service, Status: load.Status, Slots: load.Slots, Busy: load.Busy, Queued: load.Queued,
+		Flows: established, HalfOpen: halfOpen, Connections: load.MaxFlows,
+	}
 	return status
 }
+
+// explainHeld adds what this agent knows about the flow itself.
+func (a *Agent) explainHeld(request controlapi.ExplainRequest) controlapi.Explanation {
+	answer := a.explain(request)
+	known := a.core().Explain(time.Now(), explainKey(request))
+	answer.Holder = known.Holder
+	answer.Reasons = append(answer.Reasons, known.Reasons...)
+	return answer
+}
--- a/internal/node/base.go
+++ b/internal/node/base.go
@@ -44,7 +44,7 @@
 		return nil, err
 	}
 	t := b.transport
-	b.liveness = newLiveness(t, &b.cfg, status, b.requestRebuild)
+	b.liveness = newLiveness(t.send, &b.cfg, status, b.requestRebuild)
 	var err error
 	b.feed, err = newFeed(&b.cfg, b.requestRebuild)
 	if err != nil {
@@ -70,6 +70,7 @@
 		b.admin, err = rpc.Listen(address.String(), b.cfg.ServerTLS, b.methods.Handler(), b.rejected)
 		if err == nil {
 			b.transport, b.cfg.Address = t, address
+			b.cfg.Log.WithField("address", address.String()).Info("listening")
 			return nil
 		}
 		failures = errors.Join(failures, err, t.link.Close())
