Programs refuse the keys folder of another VM or role

Cause: an agent started as a1 with the keys of orders-1 ran without a message; other processes would have attributed its requests to orders-1.

Change: control, balancers and agents compare the certificate with --vm and their role at the start and name both in the error.

--- a/cmd/bramley-agent/main.go
+++ b/cmd/bramley-agent/main.go
@@ -15,6 +15,7 @@
 	"bramleyhold.example/bramleyhold/internal/node"
 	"bramleyhold.example/bramleyhold/internal/nodecmd"
 	"bramleyhold.example/bramleyhold/internal/probe"
+	"bramleyhold.example/bramleyhold/internal/rpc"
 	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/settings"
 	"bramleyhold.example/bramleyhold/internal/tun"
@@ -70,7 +71,7 @@
 func serve(ctx context.Context, out io.Writer, process *settings.Process, common *nodecmd.Node, own *agentSettings) error {
 	container := dig.New()
 	err := errors.Join(
-		nodecmd.Provide(container, out, program, process, common),
+		nodecmd.Provide(container, out, program, rpc.RoleAgent, process, common),
 		container.Provide(func() (node.Device, error) {
 			return openDevice(common, own)
 		}),
--- a/cmd/bramley-balancer/main.go
+++ b/cmd/bramley-balancer/main.go
@@ -14,6 +14,7 @@
 	"bramleyhold.example/bramleyhold/internal/finding"
 	"bramleyhold.example/bramleyhold/internal/node"
 	"bramleyhold.example/bramleyhold/internal/nodecmd"
+	"bramleyhold.example/bramleyhold/internal/rpc"
 	"bramleyhold.example/bramleyhold/internal/settings"
 	"bramleyhold.example/bramleyhold/internal/tun"
 	"bramleyhold.example/bramleyhold/internal/udplink"
@@ -64,7 +65,7 @@
 func serve(ctx context.Context, out io.Writer, process *settings.Process, common *nodecmd.Node, own *balancerSettings) error {
 	container := dig.New()
 	err := errors.Join(
-		nodecmd.Provide(container, out, program, process, common),
+		nodecmd.Provide(container, out, program, rpc.RoleBalancer, process, common),
 		container.Provide(func() (node.Device, error) { return openDevice(common, own) }),
 		container.Provide(node.NewBalancer),
 		container.Provide(func(b *node.Balancer) nodecmd.Runner { return b }),
--- a/cmd/bramley-control/wire.go
+++ b/cmd/bramley-control/wire.go
@@ -15,6 +15,7 @@
 	"bramleyhold.example/bramleyhold/internal/logstore"
 	"bramleyhold.example/bramleyhold/internal/node"
 	"bramleyhold.example/bramleyhold/internal/nodecmd"
+	"bramleyhold.example/bramleyhold/internal/rpc"
 	"bramleyhold.example/bramleyhold/internal/settings"
 	"bramleyhold.example/bramleyhold/internal/telemetry"
 )
@@ -29,7 +30,7 @@
 			return telemetry.NewLogger(out, program, process.VM, process.LogLevel)
 		}),
 		container.Provide(metrics.NewRegistry),
-		container.Provide(func() (*nodecmd.Secrets, error) { return nodecmd.LoadSecrets(c.Keys) }),
+		container.Provide(func() (*nodecmd.Secrets, error) { return nodecmd.LoadSecretsOf(c.Keys, process.VM, rpc.RoleControl) }),
 		container.Provide(func() (logstore.FileSystem, error) { return logstore.OpenFolder(process.DataFolder) }),
 		container.Provide(func(log *logrus.Entry, registry metrics.Registry, secrets *nodecmd.Secrets) (*node.Observer, error) {
 			return newObserver(process, c, log, registry, secrets)
--- a/internal/nodecmd/certificate_test.go
+++ b/internal/nodecmd/certificate_test.go
@@ -4,15 +4,37 @@
 	"bytes"
 	"crypto/tls"
 	"crypto/x509"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"bramleyhold.example/bramleyhold/internal/keys"
+	"bramleyhold.example/bramleyhold/internal/rpc"
 	"bramleyhold.example/bramleyhold/internal/telemetry"
 )
 
+// Guards against a process that runs with the keys folder of another VM or
+// role, whose requests others would attribute to that one.
+func TestLoadSecretsOf(t *testing.T) {
+	dir := t.TempDir()
+	require.NoError(t, keys.Init(dir, time.Now()))
+	issued, err := keys.Issue(dir, keys.Request{
+		Role: rpc.RoleAgent, VM: "orders-1", Addresses: []netip.Addr{netip.MustParseAddr("127.0.0.1")},
+	}, time.Now())
+	require.NoError(t, err)
+	_, err = LoadSecretsOf(issued.Folder, "orders-1", rpc.RoleAgent)
+	require.NoError(t, err)
+	for _, other := range []rpc.Peer{{VM: "orders-2", Role: rpc.RoleAgent}, {VM: "orders-1", Role: rpc.RoleControl}} {
+		_, err = LoadSecretsOf(issued.Folder, other.VM, other.Role)
+		var mismatch *IdentityError
+		require.ErrorAs(t, err, &mismatch)
+		require.Equal(t, other, mismatch.Want)
+	}
+}
+
 // Guards against a certificate that expires without a notice in the log and
 // without a metric that an alarm can use.
 func TestReportCertificate(t *testing.T) {
--- a/internal/nodecmd/wire.go
+++ b/internal/nodecmd/wire.go
@@ -23,6 +23,7 @@
 	"bramleyhold.example/bramleyhold/internal/frame"
 	"bramleyhold.example/bramleyhold/internal/keys"
 	"bramleyhold.example/bramleyhold/internal/node"
+	"bramleyhold.example/bramleyhold/internal/rpc"
 	"bramleyhold.example/bramleyhold/internal/settings"
 	"bramleyhold.example/bramleyhold/internal/telemetry"
 	"bramleyhold.example/bramleyhold/internal/vm"
@@ -82,11 +83,11 @@
 }
 
 // Provide adds the parts that balancers and agents share to a container.
-func Provide(container *dig.Container, out io.Writer, program string, p *settings.Process, n *Node) error {
+func Provide(container *dig.Container, out io.Writer, program string, role rpc.Role, p *settings.Process, n *Node) error {
 	return errors.Join(
 		container.Provide(func() (*logrus.Entry, error) { return telemetry.NewLogger(out, program, p.VM, p.LogLevel) }),
 		container.Provide(metrics.NewRegistry),
-		container.Provide(func() (*Secrets, error) { return LoadSecrets(n.Keys) }),
+		container.Provide(func() (*Secrets, error) { return LoadSecretsOf(n.Keys, p.VM, role) }),
 		container.Provide(func() (*Traces, error) { return OpenTraces(n) }),
 		container.Provide(func(secrets *Secrets, log *logrus.Entry, registry metrics.Registry, traces *Traces) (node.Config, error) {
 			return nodeConfig(p, n, secrets, log, registry, traces)
