--- a/internal/measure/machine.go
+++ b/internal/measure/machine.go
@@ -22,7 +22,7 @@
 	// datagramBytes is what IPv4 and UDP add to a frame.
 	datagramBytes = 28
 	peerTagBytes  = 16
-	framePrefix   = 2
+	framePrefix   = 3
 )
 
 // entry decides for a balancer.
@@ -177,10 +177,7 @@
 
 // eligible reports whether an upstream may get new work.
 func (m *machine) eligible() bool {
-	if m.server.shedding || m.w.now.Before(m.server.coldUntil) {
-		return false
-	}
-	return m.alive && m.server.up && m.leavingSince.IsZero() && m.announced.Status == view.Ready
+	return !m.server.shedding && m.alive && m.server.up && m.leavingSince.IsZero() && m.announced.Status == view.Ready
 }
 
 // inForce records how long a revision took to reach a node.
@@ -220,7 +217,7 @@
 	if err != nil {
 		panic(err)
 	}
-	h := frame.Header{Kind: frame.KindPeer}
+	var h frame.MessageHeader
 	header, err := h.MarshalMsg(nil)
 	if err != nil {
 		panic(err)
--- a/internal/rpc/handler.go
+++ b/internal/rpc/handler.go
@@ -40,7 +40,8 @@
 func (h *methodHandler) Handle(ctx context.Context, conn *Conn, request *jsonrpc2.Request) {
 	calls, counted := ctx.Value(callsKey{}).(*calls)
 	counted = counted && !request.Notif
-	if counted && !calls.begin() {
+	// This runs in the order in which requests were read, unlike the answers.
+	if counted && calls.begin() {
 		ctx = context.WithValue(ctx, lateKey{}, true)
 	}
 	answer := func() {
@@ -111,33 +112,37 @@
 	return value, nil
 }
 
-type callsKey struct{}
-
 type lateKey struct{}
 
-// Late reports whether a request was read after the server began to stop. A
-// request that was read before is in progress and must be answered in full.
-func Late(ctx context.Context) bool {
+// ArrivedLate reports whether a request was read after Server.Drain was called.
+// Its handler can refuse it; earlier requests have to be finished.
+func ArrivedLate(ctx context.Context) bool {
 	late, _ := ctx.Value(lateKey{}).(bool)
 	return late
 }
 
+type callsKey struct{}
+
 // calls counts the requests in progress of a server.
 type calls struct {
-	mu    sync.Mutex
-	count int
-	idle  chan struct{}
-	// ending is set by the server when it is about to stop.
-	ending bool
+	mu       sync.Mutex
+	count    int
+	draining bool
+	idle     chan struct{}
 }
 
-// begin counts a request and reports whether it was read before the server
-// began to stop.
+// begin reports whether the server is draining.
 func (c *calls) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.count++
-	return !c.ending
+	return c.draining
+}
+
+func (c *calls) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining = true
 }
 
 func (c *calls) end() {
