--- a/cmd/bramley-agent/main.go
+++ b/cmd/bramley-agent/main.go
@@ -11,6 +11,7 @@
 	"bramleyhold.example/bramleyhold/internal/node"
 	"bramleyhold.example/bramleyhold/internal/nodecmd"
 	"bramleyhold.example/bramleyhold/internal/probe"
+	"bramleyhold.example/bramleyhold/internal/rpc"
 	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/settings"
 	"bramleyhold.example/bramleyhold/internal/tun"
@@ -47,7 +48,7 @@
 
 func main() {
 	own := &agentSettings{}
-	nodecmd.Main(nodecmd.Program{Name: program, Usage: "runs the agent beside one upstream", Own: own, Provide: own.provide})
+	nodecmd.Main(nodecmd.Program{Name: program, Role: rpc.RoleAgent, Usage: "runs the agent beside one upstream", Own: own, Provide: own.provide})
 }
 
 // provide adds the constructors of this program.
--- a/cmd/bramley-balancer/main.go
+++ b/cmd/bramley-balancer/main.go
@@ -10,6 +10,7 @@
 	"bramleyhold.example/bramleyhold/internal/finding"
 	"bramleyhold.example/bramleyhold/internal/node"
 	"bramleyhold.example/bramleyhold/internal/nodecmd"
+	"bramleyhold.example/bramleyhold/internal/rpc"
 	"bramleyhold.example/bramleyhold/internal/settings"
 	"bramleyhold.example/bramleyhold/internal/tun"
 	"bramleyhold.example/bramleyhold/internal/udplink"
@@ -41,7 +42,7 @@
 
 func main() {
 	own := &balancerSettings{}
-	nodecmd.Main(nodecmd.Program{Name: program, Usage: "runs one balancer", Own: own, Provide: own.provide})
+	nodecmd.Main(nodecmd.Program{Name: program, Role: rpc.RoleBalancer, Usage: "runs one balancer", Own: own, Provide: own.provide})
 }
 
 // provide adds the constructors of this program.
--- a/internal/nodecmd/main.go
+++ b/internal/nodecmd/main.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/dig"
 
+	"bramleyhold.example/bramleyhold/internal/rpc"
 	"bramleyhold.example/bramleyhold/internal/settings"
 )
 
@@ -16,6 +17,8 @@
 type Program struct {
 	Name  string
 	Usage string
+	// Role is what the certificate of the VM must allow.
+	Role rpc.Role
 	// Own holds the settings that only this program has.
 	Own settings.Group
 	// Provide adds the constructors of this program: a node.Device and a
@@ -39,7 +42,7 @@
 	command := &cli.Command{Name: p.Name, Usage: p.Usage, Writer: stdout}
 	return settings.Run(ctx, args, stderr, command, set, func(ctx context.Context) error {
 		container := dig.New()
-		err := errors.Join(provide(container, stderr, p.Name, process, common), p.Provide(container, common))
+		err := errors.Join(provide(container, stderr, p.Name, p.Role, process, common), p.Provide(container, common))
 		if err != nil {
 			return err
 		}
