--- a/internal/membership/record_test.go
+++ b/internal/membership/record_test.go
@@ -64,8 +64,8 @@
 	}
 }
 
-// Guards against a process that accepts a verdict on itself, or that fights a
-// later incarnation of its own VM.
+// Guards against a process that accepts a verdict on itself, or that
+// overrides a later incarnation of its own VM.
 func TestOwnRecord(t *testing.T) {
 	self := testMember("a", 5, 3, view.Ready)
 	cases := map[string]struct {
--- a/internal/membership/repair.go
+++ b/internal/membership/repair.go
@@ -87,7 +87,7 @@
 }
 
 // contactFailed sends a digest to a member that is held for failed, so that
-// the two sides of a healed partition meet, and a process that restarts while
+// the two sides of a healed partition find each other, and a process that restarts while
 // no seed is reachable is found. The members of a zone share the work.
 func (n *Node) contactFailed(m *message, out *Output) {
 	if n.rng.IntN(len(n.self.zone.live)) >= failedContacts {
--- a/internal/slopes/fanout.go
+++ b/internal/slopes/fanout.go
@@ -90,7 +90,7 @@
 	lost.Stopped = true
 	c := intent.Change{OperationID: "after loss", Kind: intent.KindTraffic, Traffic: &intent.TrafficRule{Service: serviceName(1)}}
 	revision := n.Publish(c)
-	took, _ := n.RunUntil(patience, func() bool { return n.AllAt(revision) })
+	took, _ := n.RunUntil(waitLimit, func() bool { return n.AllAt(revision) })
 	return p.add(prefix+".silent_delegate.slowest", len(n.Members)-controlReplicas, took.Seconds(), "s")
 }
 
@@ -98,12 +98,12 @@
 func spread(p *printer, n *simnet.Net, name string, c intent.Change) error {
 	n.ResetCounters()
 	revision := n.Publish(c)
-	took, _ := n.RunUntil(patience, func() bool { return n.AllAt(revision) })
+	took, _ := n.RunUntil(waitLimit, func() bool { return n.AllAt(revision) })
 	nodes := len(n.Members) - controlReplicas
 	if err := p.add(name+".slowest", nodes, took.Seconds(), "s"); err != nil {
 		return err
 	}
-	inForce, _ := n.RunUntil(patience, func() bool { return n.Members[0].Node.InForce() == revision })
+	inForce, _ := n.RunUntil(waitLimit, func() bool { return n.Members[0].Node.InForce() == revision })
 	if err := p.add(name+".known_in_force", nodes, (took + inForce).Seconds(), "s"); err != nil {
 		return err
 	}
--- a/internal/slopes/membership.go
+++ b/internal/slopes/membership.go
@@ -13,7 +13,7 @@
 	changeTime  = 10 * time.Second
 	settleTime  = 60 * time.Second
 	idleTime    = 60 * time.Second
-	patience    = 3 * time.Minute
+	waitLimit   = 3 * time.Minute
 	seedCount   = 3
 	manyZones   = 6
 	fewZones    = 3
@@ -40,7 +40,7 @@
 		f.Add(names[i%zones])
 	}
 	figures := []figure{}
-	took, _ := f.RunUntil(patience, func() bool { return f.AllKnow(members) })
+	took, _ := f.RunUntil(waitLimit, func() bool { return f.AllKnow(members) })
 	figures = append(figures, figure{"membership.join_all", took.Seconds(), "s"})
 	figures = append(figures, traffic(f, "join_all", took)...)
 	f.Run(settleTime)
@@ -94,9 +94,9 @@
 	count := len(f.Members) + 1
 	added := f.Add(z)
 	start := f.Now
-	f.RunUntil(patience, func() bool { return added.Node.Size() == count })
+	f.RunUntil(waitLimit, func() bool { return added.Node.Size() == count })
 	complete := f.Now.Sub(start).Seconds()
-	f.RunUntil(patience, func() bool { return f.AllKnow(count) })
+	f.RunUntil(waitLimit, func() bool { return f.AllKnow(count) })
 	known := f.Now.Sub(start).Seconds()
 	return []figure{{"membership.join_one.complete", complete, "s"}, {"membership.join_one.known_everywhere", known, "s"}}
 }
@@ -109,13 +109,13 @@
 	leaving.Status = view.Leaving
 	f.ResetCounters()
 	f.Do(subject, subject.Node.Announce(f.Now, leaving))
-	took, _ := f.RunUntil(patience, func() bool { return f.AllHold(subject, view.Leaving) })
+	took, _ := f.RunUntil(waitLimit, func() bool { return f.AllHold(subject, view.Leaving) })
 	figures = append(figures, figure{"membership.spread_leaving", took.Seconds(), "s"})
 	subject.Stopped = true
 	start := f.Now
-	_, _ = f.RunUntil(patience, func() bool { return f.AllHold(subject, view.Suspected, view.Failed) })
+	_, _ = f.RunUntil(waitLimit, func() bool { return f.AllHold(subject, view.Suspected, view.Failed) })
 	figures = append(figures, figure{"membership.crash_to_suspected", f.Now.Sub(start).Seconds(), "s"})
-	_, _ = f.RunUntil(patience, func() bool { return f.AllHold(subject, view.Failed) })
+	_, _ = f.RunUntil(waitLimit, func() bool { return f.AllHold(subject, view.Failed) })
 	return append(figures, figure{"membership.crash_to_failed", f.Now.Sub(start).Seconds(), "s"})
 }
 
--- a/internal/slopes/membership_failures.go
+++ b/internal/slopes/membership_failures.go
@@ -26,7 +26,7 @@
 		for i := range manyMembers {
 			f.Add(names[i%manyZones])
 		}
-		f.RunUntil(patience, func() bool { return f.AllKnow(manyMembers) })
+		f.RunUntil(waitLimit, func() bool { return f.AllKnow(manyMembers) })
 		f.Run(settleTime)
 		f.ResetCounters()
 		if err := step(p, f); err != nil {
@@ -82,7 +82,7 @@
 	}
 	start := f.Now
 	for _, status := range [][]view.Status{{view.Suspected, view.Failed}, {view.Failed}} {
-		f.RunUntil(patience, func() bool {
+		f.RunUntil(waitLimit, func() bool {
 			for _, m := range lost {
 				if !f.AllHold(m, status...) {
 					return false
@@ -112,7 +112,7 @@
 // runBySecond checks an expensive condition once per second.
 func runBySecond(f *fleet.Fleet, done func() bool) float64 {
 	start := f.Now
-	for f.Now.Sub(start) < patience && !done() {
+	for f.Now.Sub(start) < waitLimit && !done() {
 		f.Run(rackInterval)
 	}
 	return f.Now.Sub(start).Seconds()
