agent: do not restore flows of an earlier upstream process

Cause: after the loss and return of an upstream the agent restored flows that had ended with its earlier process; their slots kept openings waiting.

Change: Config.UpstreamStarted. Flows that were opened before it are not restored.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -87,6 +87,10 @@
 	// Recover makes the agent ask its peers for flows of an earlier life
 	// before it decides about packets of unknown flows.
 	Recover bool
+	// UpstreamStarted, if set, is when the upstream process started, by the
+	// clock of this VM. Flows that were opened before it ended with the
+	// earlier process and are not restored.
+	UpstreamStarted time.Time
 	// Events, if set, receives a sample of the decisions.
 	Events Recorder
 }
--- a/internal/agent/recovery.go
+++ b/internal/agent/recovery.go
@@ -223,6 +223,9 @@
 	if record.Key.Virtual != svc.Endpoint.Address || record.Key.Protocol != svc.Endpoint.Protocol.Number() {
 		return false
 	}
+	if started := c.cfg.UpstreamStarted; !started.IsZero() && record.OpenedAt < started.UnixNano() {
+		return false
+	}
 	f := &flowState{
 		key: record.Key, hash: c.cfg.Hasher.Hash(record.Key), alias: record.Alias, phase: record.Phase,
 		lastSeen: now.UnixNano(), openedAt: record.OpenedAt, marks: restored | quiet | payloadDelivered,
--- a/internal/agent/recovery_test.go
+++ b/internal/agent/recovery_test.go
@@ -225,6 +225,21 @@
 	require.EqualValues(t, 1, n.core.flows.slots.Load())
 }
 
+// Guards against flows of an upstream process that has ended taking slots of
+// the next one, for which openings then wait.
+func TestFlowsOfEarlierUpstream(t *testing.T) {
+	x := newExchange(t, tcpSetup())
+	c := x.caller(1)
+	c.connect()
+	i := c.holderIndex()
+	x.node(i).cfg.UpstreamStarted = x.now
+	n := x.crash(i)
+	x.run(time.Second)
+	require.False(t, n.core.Recovering())
+	require.Nil(t, c.holder())
+	require.Zero(t, n.core.flows.slots.Load())
+}
+
 // Guards against registrations that do not follow a change of view within 1 s,
 // and against a change that moves all of them.
 func TestRegistrationsFollowView(t *testing.T) {
