balancer: take equal sequence numbers for a retransmission

Cause: agents no longer send a hint for a flow held at its home, so that packets without a hint more than 150 ms apart were taken for retransmissions and went to the second in rank.

Change: only the same sequence number of a packet with payload counts.

--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -163,7 +163,7 @@
 		return hinted
 	}
 	if m.Protocol == packet.ProtocolTCP {
-		return c.unhinted(now, d.Service, hash)
+		return c.unhinted(now, d.Service, hash, m)
 	}
 	return d.Service.Home(hash)
 }
--- a/internal/balancer/unanswered.go
+++ b/internal/balancer/unanswered.go
@@ -4,11 +4,12 @@
 	"sync/atomic"
 	"time"
 
+	"bramleyhold.example/bramleyhold/internal/packet"
 	"bramleyhold.example/bramleyhold/internal/view"
 )
 
 const (
-	// unansweredSlots bounds the remembered flows to 512 KB. A collision costs a
+	// unansweredSlots bounds the remembered flows to 768 KB. A collision costs a
 	// hop.
 	unansweredSlots = 1 << 15
 	// retransmitAfter is below the least retransmission time-out of common TCP
@@ -21,37 +22,51 @@
 	unansweredRanks = 3
 )
 
-// unanswered counts the attempts of flows without a hint. An agent that gets
-// such a packet answers with a hint, so a retransmission without a hint means
-// that the agent is lost or unreachable; the next in rank gets it then. Without
+// unanswered counts the retransmissions of flows without a hint. The agent that
+// got the packet before may be lost, so the next in rank gets it then. Without
 // this, flows of other upstreams stall until the loss of their home is known
 // here, which takes longer than 3 s.
 type unanswered struct {
 	slots [unansweredSlots]unansweredSlot
 }
 
-// unansweredSlot holds the flow and its state: the time in milliseconds since
+// unansweredSlot holds the flow, the sequence number of its last packet with
+// payload, and its state: the time in milliseconds since
 // 1970 and, in the low byte, the attempts. Concurrent writers can lose an
 // attempt.
 type unansweredSlot struct {
-	flow  atomic.Uint64
-	state atomic.Uint64
+	flow     atomic.Uint64
+	state    atomic.Uint64
+	sequence atomic.Uint32
 }
 
 const attemptBits = 8
 
 // attempt returns how often the flow was sent to a member without an answer.
-func (u *unanswered) attempt(now time.Time, flow uint64) uint64 {
+func (u *unanswered) attempt(now time.Time, flow uint64, m *packet.Meta) uint64 {
 	s := &u.slots[flow%unansweredSlots]
 	at := uint64(now.UnixMilli())
 	state := s.state.Load()
 	last, attempts := state>>attemptBits, state&(1<<attemptBits-1)
 	since := at - last
+	carries := m.PayloadBytes > 0 || m.Flags.Has(packet.FIN)
 	if s.flow.Load() != flow || since >= uint64(forgetAfter.Milliseconds()) {
 		s.flow.Store(flow)
+		s.sequence.Store(m.Sequence)
+		if !carries {
+			// The first packet with payload has the same number.
+			s.sequence.Store(m.Sequence - 1)
+		}
 		s.state.Store(at << attemptBits)
 		return 0
 	}
+	if !carries {
+		return attempts
+	}
+	if s.sequence.Swap(m.Sequence) != m.Sequence {
+		s.state.Store(at<<attemptBits | attempts)
+		return attempts
+	}
 	if since >= uint64(retransmitAfter.Milliseconds()) {
 		attempts = (attempts + 1) % unansweredRanks
 		s.state.Store(at<<attemptBits | attempts)
@@ -61,9 +76,9 @@
 
 // unhinted returns the member that gets a packet of an established TCP flow
 // without a hint: home, and at a retransmission the next in rank.
-func (c *Core) unhinted(now time.Time, s *view.Service, flow uint64) int {
+func (c *Core) unhinted(now time.Time, s *view.Service, flow uint64, m *packet.Meta) int {
 	var tried uint64
-	for range c.unanswered.attempt(now, flow) {
+	for range c.unanswered.attempt(now, flow, m) {
 		i := s.Next(flow, tried)
 		if i < 0 {
 			break
