Flows of an earlier boot are not restored; end-to-end runs take turns

Cause: (1) after the loss of a VM its agent restored flows whose connections were gone, and they held slots for 5 s; (2) end-to-end runs on one machine shared devices, addresses and routes, and one of two concurrent runs failed. Change: node and driver set agent.Config.UpstreamStarted; end-to-end tests take a lock.

--- a/internal/fleet/e2e_test.go
+++ b/internal/fleet/e2e_test.go
@@ -8,12 +8,15 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/service"
@@ -21,8 +24,19 @@
 	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
+// lockMachine makes end-to-end runs on one machine wait for each other: they
+// use the same devices, addresses and routes.
+func lockMachine(t *testing.T) {
+	t.Helper()
+	file, err := os.OpenFile(filepath.Join(os.TempDir(), "bramleyhold-e2e.lock"), os.O_CREATE|os.O_RDWR, 0o600)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = file.Close() })
+	require.NoError(t, unix.Flock(int(file.Fd()), unix.LOCK_EX))
+}
+
 func startFleet(t *testing.T, plan Plan) *Fleet {
 	t.Helper()
+	lockMachine(t)
 	logger := logrus.New()
 	logger.SetLevel(logrus.WarnLevel)
 	f := New(plan, logrus.NewEntry(logger), nil)
--- a/internal/fleet/process_test.go
+++ b/internal/fleet/process_test.go
@@ -86,6 +86,7 @@
 // two balancers and two agents with keys, TLS and an imported inventory answer
 // an ordinary HTTP request.
 func TestSeparateProcesses(t *testing.T) {
+	lockMachine(t)
 	p := buildPrograms(t)
 	p.ctl("keys", "init", p.keys)
 	operator := filepath.Join(p.keys, "vm", "operator-1")
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -29,7 +29,7 @@
 	return &bramleyHolder{m: m, held: map[uint64]heldPacket{}, core: agent.New(agent.Config{
 		VM: m.id, Service: m.service, Incarnation: m.incarnation,
 		Upstream: netip.AddrPortFrom(m.address.Addr(), upstreamPort),
-		Aliases:  m.aliases(), Hasher: m.w.hasher, Recover: true,
+		Aliases:  m.aliases(), Hasher: m.w.hasher, Recover: true, UpstreamStarted: m.server.startedAt,
 	})}
 }
 
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -248,7 +248,7 @@
 		return
 	}
 	w.account(w.run(m.service))
-	m.server.up = true
+	m.server.up, m.server.startedAt = true, w.now
 	m.startAgent()
 }
 
--- a/internal/measure/server.go
+++ b/internal/measure/server.go
@@ -41,6 +41,8 @@
 	waiting []func()
 	// placed counts chosen openings that are under way to this server.
 	placed int
+	// startedAt is set when the server has returned after a crash.
+	startedAt time.Time
 	// generation tells the lives of a crashed and returned server apart.
 	generation int
 	// shedding, lying and coldUntil are set by scenarios: the server asks for no
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -88,6 +88,7 @@
 	return agent.New(agent.Config{
 		VM: cfg.VM, Service: cfg.Service, Incarnation: incarnation,
 		Upstream: cfg.Upstream, Aliases: cfg.Aliases, Hasher: cfg.Hasher, Recover: true, Events: cfg.Events,
+		UpstreamStarted: bootTime(time.Now()),
 	})
 }
 
