balancer: packets of the kernel do not prolong a planned stop

Cause: a balancer with a TUN device was still running 8 s after SIGTERM without callers. Every packet from the device restarted the 5 s of quiet, also the router solicitations of the kernel.

Change: only packets that the balancer accepts count.

--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -165,11 +165,13 @@
 
 func (f *forwarder) handle(now time.Time, p []byte) {
 	b := f.b
-	b.lastPacket.Store(now.UnixNano())
 	if err := f.accept(p); err != nil {
 		b.transport.countPacket(err)
 		return
 	}
+	// Packets of other protocols do not count: the kernel sends router
+	// solicitations into a TUN device, which would prolong a planned stop.
+	b.lastPacket.Store(now.UnixNano())
 	b.core.Decide(now, &f.meta, &f.decision)
 	switch f.decision.Verdict {
 	case balancer.Send:
