Balancer: no reset for an opening with payload, shedding and gauges connected

Cause: (1) a balancer reset a SYN with payload as not run, although an earlier copy of it may have run; (2) nothing told the balancer core how full its queue is; (3) slots, queue and flows of an agent were not in its metrics; (4) the first log line of a stop said nothing.

--- a/cmd/bramley-balancer/main.go
+++ b/cmd/bramley-balancer/main.go
@@ -23,6 +23,7 @@
 	Virtual       []netip.Prefix `flag:"virtual"`
 	PacketAddress netip.AddrPort `flag:"packet-address"`
 	PacketSink    netip.AddrPort `flag:"packet-sink"`
+	MaxOpenings   int            `flag:"max-openings" validate:"gte=0"`
 }
 
 // Register implements settings.Group.
@@ -30,6 +31,7 @@
 	settings.Add(s, &b.Virtual, "virtual", "", "virtual addresses that are routed into the TUN device: address/bits,…", nodecmd.ParsePrefixes)
 	settings.Text(s, &b.PacketAddress, "packet-address", "", "take IP packets from UDP datagrams at IP:port instead of a TUN device")
 	settings.Text(s, &b.PacketSink, "packet-sink", "", "where answers to callers go as UDP datagrams: IP:port")
+	settings.Int(s, &b.MaxOpenings, "max-openings", "0", "openings per second that are passed on at most, further ones are dropped; 0 sets no bound")
 	s.Check(func(l *finding.List) {
 		if b.PacketAddress.IsValid() != b.PacketSink.IsValid() {
 			l.Errorf(settings.Place("packet-sink"), "packet-address and packet-sink belong together")
@@ -49,7 +51,10 @@
 func (b *balancerSettings) provide(container *dig.Container, common *nodecmd.Node) error {
 	return errors.Join(
 		container.Provide(func() (node.Device, error) { return openDevice(common, b) }),
-		container.Provide(node.NewBalancer),
+		container.Provide(func(cfg node.Config, device node.Device) (*node.Balancer, error) {
+			cfg.MaxOpenings = b.MaxOpenings
+			return node.NewBalancer(cfg, device)
+		}),
 		container.Provide(func(b *node.Balancer) nodecmd.Runner { return b }),
 	)
 }
--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -136,7 +136,7 @@
 		d.Header.Flags = frame.FlagOpening
 	}
 	if syn && !d.Service.Traffic {
-		d.Verdict, d.Reason = Reset, TrafficOff
+		refuse(m, d, TrafficOff)
 		return
 	}
 	target := c.target(now, d, m, hash)
@@ -171,6 +171,15 @@
 func (c *Core) noUpstream(m *packet.Meta, d *Decision) {
 	d.Reason = NoUpstream
 	if m.Opening() && m.Protocol == packet.ProtocolTCP {
+		refuse(m, d, NoUpstream)
+	}
+}
+
+// refuse resets an opening as not run. A SYN with payload is dropped instead,
+// because an earlier copy of it may have reached an upstream.
+func refuse(m *packet.Meta, d *Decision, r Reason) {
+	d.Reason = r
+	if m.PayloadBytes == 0 {
 		d.Verdict = Reset
 	}
 }
--- a/internal/balancer/core_test.go
+++ b/internal/balancer/core_test.go
@@ -94,6 +94,8 @@
 func TestVerdicts(t *testing.T) {
 	other := tcp(packet.SYN)
 	other.Destination = netip.MustParseAddrPort("198.51.100.9:443")
+	fastOpen := tcp(packet.SYN)
+	fastOpen.PayloadBytes = 100
 	icmp := tcp(0)
 	icmp.Protocol = packet.ProtocolICMP
 	tests := []struct {
@@ -109,6 +111,8 @@
 		{"unknown address", nil, other, Drop, UnknownService},
 		{"unknown protocol", nil, icmp, Drop, UnknownService},
 		{"SYN, traffic off", func(f *fixture) { f.traffic(false) }, tcp(packet.SYN), Reset, TrafficOff},
+		{"SYN with payload, traffic off", func(f *fixture) { f.traffic(false) }, fastOpen, Drop, TrafficOff},
+		{"SYN with payload, no member", func(f *fixture) { f.members = nil }, fastOpen, Drop, NoUpstream},
 		{"data, traffic off", func(f *fixture) { f.traffic(false) }, tcp(packet.ACK), Send, ""},
 		{"datagram, traffic off", func(f *fixture) { f.traffic(false) }, udp(), Send, ""},
 		{"SYN, no member", func(f *fixture) { f.members = nil }, tcp(packet.SYN), Reset, NoUpstream},
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -112,6 +112,7 @@
 	group.Go(a.readUpstream)
 	group.Go(func() error { return a.tick(ctx) })
 	group.Go(func() error { return a.runProbes(ctx) })
+	group.Go(func() error { return a.runGauges(ctx) })
 	return group.Wait()
 }
 
--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -43,7 +43,7 @@
 // NewBalancer opens the frame link. Run must be called to start.
 func NewBalancer(cfg Config, device Device) (*Balancer, error) {
 	cfg.Role = vm.RoleBalancer
-	b := &Balancer{device: device, core: balancer.New(balancer.Config{VM: cfg.VM, Hasher: cfg.Hasher})}
+	b := &Balancer{device: device, core: balancer.New(balancer.Config{VM: cfg.VM, Hasher: cfg.Hasher, OpeningsPerSecond: cfg.MaxOpenings})}
 	common, err := newBase(cfg, view.Ready, b.core.SetView, b.operatorMethods())
 	if err != nil {
 		return nil, err
@@ -139,12 +139,27 @@
 	}
 }
 
+// fullBatchLimit is how many full batches in a row count as a full queue. The
+// socket does not tell how many packets wait, but a queue that is not emptied
+// over so many batches is growing.
+const fullBatchLimit = 128
+
+// nextFull returns how many full batches were read in a row, up to the limit.
+func nextFull(full, packets int) int {
+	if packets < udplink.BatchSize {
+		return 0
+	}
+	return min(full+1, fullBatchLimit)
+}
+
 func readBatch(device batchDevice, f *forwarder) func() error {
-	batch := udplink.NewBatch()
+	batch, full := udplink.NewBatch(), 0
 	return func() error {
 		if err := device.ReceiveBatch(batch); err != nil {
 			return err
 		}
+		full = nextFull(full, batch.Len())
+		f.b.core.SetPressure(balancer.Pressure{Queued: full, Capacity: fullBatchLimit})
 		now := time.Now()
 		for i := range batch.Len() {
 			f.handle(now, batch.Datagram(i))
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -59,6 +59,9 @@
 	Metrics    metrics.Registry
 	Events     *event.Buffer
 	Tracer     *telemetry.Tracer
+	// MaxOpenings bounds the openings that a balancer passes on per second; 0
+	// sets no bound.
+	MaxOpenings int
 	// TraceEvery is how many openings there are for each traced one; 0 is none.
 	TraceEvery int
 }
--- a/internal/node/forward_test.go
+++ b/internal/node/forward_test.go
@@ -139,3 +139,15 @@
 		b.ReportMetric(float64(handled)/b.Elapsed().Seconds(), "packets/s")
 	})
 }
+
+// Guards against a queue that grows without openings being shed, and against
+// shedding after a single burst.
+func TestFullBatchesShedOpenings(t *testing.T) {
+	full := 0
+	for range fullBatchLimit {
+		full = nextFull(full, udplink.BatchSize)
+	}
+	require.Equal(t, fullBatchLimit, full)
+	require.Equal(t, fullBatchLimit, nextFull(full, udplink.BatchSize))
+	require.Zero(t, nextFull(full, udplink.BatchSize-1))
+}
--- /dev/null
+++ b/internal/node/gauges.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// gaugeInterval is how often the gauges of an agent are updated.
+const gaugeInterval = time.Second
+
+// runGauges publishes slots, queue and flows of the upstream.
+func (a *Agent) runGauges(ctx context.Context) error {
+	ticker := time.NewTicker(gaugeInterval)
+	defer ticker.Stop()
+	for {
+		a.updateGauges()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (a *Agent) updateGauges() {
+	core := a.core()
+	established, halfOpen := core.Flows()
+	load := core.Load()
+	for name, value := range map[string]int{
+		"upstream.slots": load.Slots, "upstream.busy": load.Busy, "upstream.queued": load.Queued,
+		"upstream.max_flows": load.MaxFlows, "upstream.established": established, "upstream.half_open": halfOpen,
+	} {
+		metrics.GetOrRegisterGauge(name, a.cfg.Metrics).Update(int64(value))
+	}
+}
--- a/internal/nodecmd/wire.go
+++ b/internal/nodecmd/wire.go
@@ -151,6 +151,9 @@
 // waitingInterval is how often a stopping program says what it waits for.
 const waitingInterval = 5 * time.Second
 
+// firstWaiting leaves the time in which a node without work stops.
+const firstWaiting = 200 * time.Millisecond
+
 // serve runs a node with its address for health and metrics until
 // the context ends, then drains it. A second signal ends the program at once.
 func serve(ctx context.Context, log *logrus.Entry, runner Runner, http *telemetry.Server) error {
@@ -177,12 +180,13 @@
 func drain(ctx context.Context, log *logrus.Entry, runner Runner) error {
 	done := make(chan error, 1)
 	go func() { done <- runner.Drain(ctx) }()
-	for {
-		log.WithField("waiting_for", runner.WaitingFor()).Info("stopping")
+	log.Info("stopping")
+	for pause := firstWaiting; ; pause = waitingInterval {
 		select {
 		case err := <-done:
 			return err
-		case <-time.After(waitingInterval):
+		case <-time.After(pause):
 		}
+		log.WithField("waiting_for", runner.WaitingFor()).Info("stopping")
 	}
 }
