--- a/internal/measure/targets_test.go
+++ b/internal/measure/targets_test.go
@@ -72,6 +72,12 @@
 	t.Run("everything", func(t *testing.T) { requireNoBrokenFlows(t, "everything", 4, 2000) })
 }
 
+// Guards against a holder that sends no hint because its own view alone takes
+// it for the home of the flow.
+func TestNoBrokenFlowsWhenHomesDiffer(t *testing.T) {
+	requireNoBrokenFlows(t, "upstream-crash", 3, 2000)
+}
+
 func requireNoIdleSlot(t *testing.T, scenario string, flows int) {
 	t.Helper()
 	o := short(scenario, Bramley)
