--- a/internal/settings/set_test.go
+++ b/internal/settings/set_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/urfave/cli/v3"
 
+	"bramleyhold.example/bramleyhold/internal/finding"
 	"bramleyhold.example/bramleyhold/internal/settings"
 )
 
@@ -63,7 +64,7 @@
 				t.Setenv(key, value)
 			}
 			var out bytes.Buffer
-			set := settings.NewSet(&settings.Process{}, &settings.TLS{}, &timing{})
+			set := settings.NewSet(&settings.Process{}, &tlsFiles{}, &timing{})
 			ran := false
 			code := settings.Run(context.Background(), append([]string{"program"}, c.args...), &out,
 				&cli.Command{Name: "program", Writer: &out}, set,
@@ -76,3 +77,29 @@
 		})
 	}
 }
+
+// tlsFiles holds the certificate files of a process. All three are set, or none;
+// without them connections are plain TCP, which is meant for loopback.
+type tlsFiles struct {
+	CA          string `flag:"tls-ca" validate:"omitempty,file"`
+	Certificate string `flag:"tls-certificate" validate:"omitempty,file"`
+	Key         string `flag:"tls-key" validate:"omitempty,file"`
+}
+
+// Register implements Group.
+func (t *tlsFiles) Register(s *settings.Set) {
+	settings.String(s, &t.CA, "tls-ca", "", "file with the certificate of the cluster CA")
+	settings.String(s, &t.Certificate, "tls-certificate", "", "file with the certificate of this process")
+	settings.String(s, &t.Key, "tls-key", "", "file with the key of this process")
+	s.Check(func(l *finding.List) {
+		set := map[string]string{"tls-ca": t.CA, "tls-certificate": t.Certificate, "tls-key": t.Key}
+		for _, name := range []string{"tls-ca", "tls-certificate", "tls-key"} {
+			if t.Enabled() && set[name] == "" {
+				l.Errorf(settings.Place(name), "is required when another TLS file is set")
+			}
+		}
+	})
+}
+
+// Enabled reports whether any TLS file is set.
+func (t *tlsFiles) Enabled() bool { return t.CA != "" || t.Certificate != "" || t.Key != "" }
