peer: messages as arrays, hints bounded per agent

Cause: agents send more than the budget of 3,000 B/s at 46 openings a second over 7 upstreams; with hundreds of balancers each flow could cost a hint per balancer. Change: flow keys, records, registrations, loads and hints are CBOR arrays without field keys; an agent sends at most 5 hints a second (burst 50).

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/frame"
 	"bramleyhold.example/bramleyhold/internal/packet"
@@ -115,6 +117,7 @@
 	claims    *claims
 	recovery  *recovery
 	load      loadState
+	hints     *rate.Limiter
 	outbox    outbox
 	observed  observed
 	report    atomic.Pointer[Report]
@@ -139,6 +142,7 @@
 		events:    newSampler(cfg.Events),
 	}
 	c.load.limiter = newLoadLimiter()
+	c.hints = rate.NewLimiter(hintsPerSecond, hintBurst)
 	c.oldest.Store(uint64(cfg.Incarnation))
 	return c
 }
--- a/internal/agent/registering.go
+++ b/internal/agent/registering.go
@@ -130,7 +130,7 @@
 	settled := c.settled(a.now, a.svc)
 	home := a.svc.Home(a.hash)
 	if !settled || home < 0 || a.svc.Hashes[home] != c.selfHash {
-		c.hintOrigin(a.h, a.key, c.cfg.VM, c.cfg.Incarnation, out)
+		c.hintOrigin(a, c.cfg.VM, c.cfg.Incarnation, out)
 	}
 	k := c.keepers(a.svc, a.hash)
 	told := k.count
--- a/internal/agent/walk.go
+++ b/internal/agent/walk.go
@@ -46,7 +46,7 @@
 	next.Flags |= frame.FlagHinted
 	next.Incarnation = uint64(reg.record.Incarnation)
 	c.forward(a, i, next, out)
-	c.hintOrigin(a.h, a.key, reg.holder, reg.record.Incarnation, out)
+	c.hintOrigin(a, reg.holder, reg.record.Incarnation, out)
 	return true
 }
 
@@ -160,8 +160,21 @@
 	out.add(Action{Kind: Forward, Flow: a.key, To: u.Address, ToVM: u.VM, Header: h})
 }
 
+// Hints are bounded per agent. With hundreds of balancers a flow would otherwise
+// cost a hint for each of them; a packet without a hint costs one more hop.
+const (
+	hintsPerSecond = 5
+	hintBurst      = 50
+)
+
 // hintOrigin tells the balancer that took the packet in who holds the flow.
-func (c *Core) hintOrigin(h *frame.Header, key flow.Key, holder vm.ID, incarnation vm.Incarnation, out *Actions) {
+func (c *Core) hintOrigin(a *arrival, holder vm.ID, incarnation vm.Incarnation, out *Actions) {
+	if c.hints.AllowN(a.now, 1) {
+		c.sendHint(a.h, a.key, holder, incarnation, out)
+	}
+}
+
+func (c *Core) sendHint(h *frame.Header, key flow.Key, holder vm.ID, incarnation vm.Incarnation, out *Actions) {
 	address, ok := c.state.Load().view.Origin(h.Origin)
 	if !ok {
 		return
@@ -177,6 +190,6 @@
 }
 
 func (c *Core) rejectStale(h *frame.Header, m *packet.Meta, out *Actions) {
-	c.hintOrigin(h, m.CallerKey(), "", 0, out)
+	c.sendHint(h, m.CallerKey(), "", 0, out)
 	out.drop(StaleIncarnation)
 }
--- a/internal/fleet/e2e_test.go
+++ b/internal/fleet/e2e_test.go
@@ -92,6 +92,9 @@
 		return "", err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return "", fmt.Errorf("download %d: status %s from %s", seed, response.Status, response.Header.Get("X-Upstream"))
+	}
 	got := sha256.New()
 	if _, err := io.Copy(got, response.Body); err != nil {
 		return "", fmt.Errorf("download %d from %s: %w", seed, response.Header.Get("X-Upstream"), err)
@@ -101,7 +104,7 @@
 		return "", err
 	}
 	if string(got.Sum(nil)) != string(want.Sum(nil)) {
-		return "", fmt.Errorf("download %d: the body is not the one that was asked for", seed)
+		return "", fmt.Errorf("download %d from %s: the body is not the one that was asked for", seed, response.Header.Get("X-Upstream"))
 	}
 	return vm.ID(response.Header.Get("X-Upstream")), nil
 }
--- a/internal/flow/key.go
+++ b/internal/flow/key.go
@@ -11,6 +11,8 @@
 
 // Key identifies a flow by the addresses on the caller's side.
 type Key struct {
+	_ struct{} `cbor:",toarray"`
+
 	Caller   netip.AddrPort `cbor:"1,keyasint" json:"caller"`
 	Virtual  netip.AddrPort `cbor:"2,keyasint" json:"virtual"`
 	Protocol uint8          `cbor:"3,keyasint" json:"protocol"`
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -24,6 +24,8 @@
 // FlowRecord is what a peer keeps so that the holder can take a flow up again
 // after a restart.
 type FlowRecord struct {
+	_ struct{} `cbor:",toarray"`
+
 	Key         flow.Key       `cbor:"1,keyasint"`
 	Alias       netip.AddrPort `cbor:"2,keyasint"`
 	Phase       flow.Phase     `cbor:"3,keyasint"`
@@ -38,6 +40,8 @@
 
 // Register asks the receiver to keep records for the sender.
 type Register struct {
+	_ struct{} `cbor:",toarray"`
+
 	Holder      vm.ID          `cbor:"1,keyasint"`
 	Incarnation vm.Incarnation `cbor:"2,keyasint"`
 	Flows       []FlowRecord   `cbor:"3,keyasint"`
@@ -45,6 +49,8 @@
 
 // Unregister says that flows of the sender have ended.
 type Unregister struct {
+	_ struct{} `cbor:",toarray"`
+
 	Holder      vm.ID          `cbor:"1,keyasint"`
 	Incarnation vm.Incarnation `cbor:"2,keyasint"`
 	Flows       []flow.Key     `cbor:"3,keyasint"`
@@ -114,6 +120,8 @@
 
 // Load tells how busy an upstream is. Older sequence numbers are ignored.
 type Load struct {
+	_ struct{} `cbor:",toarray"`
+
 	VM          vm.ID          `cbor:"1,keyasint"`
 	Incarnation vm.Incarnation `cbor:"2,keyasint"`
 	Sequence    uint64         `cbor:"3,keyasint"`
@@ -131,6 +139,8 @@
 
 // Hint tells a balancer who holds a flow. An empty holder deletes the hint.
 type Hint struct {
+	_ struct{} `cbor:",toarray"`
+
 	Key         flow.Key       `cbor:"1,keyasint"`
 	Holder      vm.ID          `cbor:"2,keyasint"`
 	Incarnation vm.Incarnation `cbor:"3,keyasint"`
