--- a/internal/agent/drain_test.go
+++ b/internal/agent/drain_test.go
@@ -154,7 +154,7 @@
 }
 
 // Guards against a reset of a new flow of an upstream that has returned, by a
-// keeper whose view still has its earlier life as failed.
+// registrar whose view still has its earlier life as failed.
 func TestUpstreamReturned(t *testing.T) {
 	s := tcpSetup()
 	s.nodes, s.slots = 4, 20
--- a/internal/agent/explain.go
+++ b/internal/agent/explain.go
@@ -36,7 +36,7 @@
 	PayloadDelivered bool          `json:"payload_delivered"`
 	Restored         bool          `json:"restored"`
 	Idle             time.Duration `json:"idle_ns"`
-	Keepers          []vm.ID       `json:"keepers"`
+	Registrars       []vm.ID       `json:"registrars"`
 }
 
 // RegistrationDetail describes a flow that another agent registered here.
@@ -108,9 +108,9 @@
 		Phase: f.phase.String(), Alias: f.alias.String(), HoldsSlot: f.marks.has(holdsSlot),
 		PayloadDelivered: f.marks.has(payloadDelivered), Restored: f.marks.has(restored), Idle: time.Duration(now.UnixNano() - f.lastSeen),
 	}
-	k := c.keepers(svc, ref.hash)
+	k := c.registrars(svc, ref.hash)
 	for _, i := range k.members[:k.count] {
-		e.Flow.Keepers = append(e.Flow.Keepers, svc.Members[i].VM)
+		e.Flow.Registrars = append(e.Flow.Registrars, svc.Members[i].VM)
 	}
 	e.because("held here")
 }
--- a/internal/agent/explain_test.go
+++ b/internal/agent/explain_test.go
@@ -10,7 +10,7 @@
 )
 
 // Guards against explanations that contradict the decisions: the holder, a
-// keeper and an uninvolved member explain the same flow.
+// registrar and an uninvolved member explain the same flow.
 func TestExplain(t *testing.T) {
 	s := tcpSetup()
 	s.nodes = 4
@@ -18,9 +18,9 @@
 	c := x.caller(1)
 	c.connect()
 	holder := c.holder()
-	// The second keeper gets a flow when it has been confirmed.
+	// The second registrar gets a flow when it has been confirmed.
 	x.run(confirmInterval + 2*linkDelay)
-	k := holder.core.keepers(x.svc(), testHasher.Hash(c.key))
+	k := holder.core.registrars(x.svc(), testHasher.Hash(c.key))
 	for i, n := range x.nodes {
 		e := n.core.Explain(x.now, c.key)
 		require.Len(t, e.Ranking, 4)
@@ -29,7 +29,7 @@
 		case n == holder:
 			require.Equal(t, []string{"held here"}, e.Reasons)
 			require.Equal(t, "established", e.Flow.Phase)
-			require.Len(t, e.Flow.Keepers, 2)
+			require.Len(t, e.Flow.Registrars, 2)
 		case i == k.members[0] || i == k.members[1]:
 			require.Equal(t, holder.id, e.Holder)
 			require.NotNil(t, e.Registration)
--- a/internal/agent/flows.go
+++ b/internal/agent/flows.go
@@ -29,7 +29,7 @@
 	halfOpen []*flowState
 	// oldest is openedAt of the head of halfOpen, or 0.
 	oldest atomic.Int64
-	// announced is the service as of which keepers know the flows.
+	// announced is the service as of which registrars know the flows.
 	announced *view.Service
 }
 
--- a/internal/agent/flows_test.go
+++ b/internal/agent/flows_test.go
@@ -114,7 +114,7 @@
 }
 
 // Guards against a restarted caller that is stuck on its old connection at one
-// agent while its new one is open at another: the keepers end the old one.
+// agent while its new one is open at another: the registrars end the old one.
 func TestPortReuseElsewhere(t *testing.T) {
 	s := longSetup()
 	s.nodes = 5
@@ -147,7 +147,7 @@
 		c.connect()
 		holder = c.holder()
 		placer := x.svc().Placer(testHasher.Hash(c.key))
-		k := holder.core.keepers(x.svc(), testHasher.Hash(c.key))
+		k := holder.core.registrars(x.svc(), testHasher.Hash(c.key))
 		if x.nodes[placer] != holder && k.members[0] != placer && k.members[1] != placer {
 			return c, holder, x.nodes[placer]
 		}
--- a/internal/agent/flowstate.go
+++ b/internal/agent/flowstate.go
@@ -194,7 +194,7 @@
 	return t.Established
 }
 
-// record is what a keeper, or the next life of the agent, has to know.
+// record is what a registrar, or the next life of the agent, has to know.
 func (f *flowState) record(incarnation vm.Incarnation) peer.FlowRecord {
 	return peer.FlowRecord{
 		Key: f.key, Alias: f.alias, Phase: f.phase, HoldsSlot: f.marks.has(holdsSlot),
--- a/internal/agent/recovery_test.go
+++ b/internal/agent/recovery_test.go
@@ -30,16 +30,16 @@
 
 // Guards against flows, aliases and slots that a restart of an agent loses,
 // also when messages are lost, repeated, late and out of order, and when one
-// of the two keepers is lost at the same time.
+// of the two registrars is lost at the same time.
 func TestRecovery(t *testing.T) {
 	for _, test := range []struct {
-		name       string
-		fault      func(*peer.Message) []time.Duration
-		lostKeeper bool
+		name          string
+		fault         func(*peer.Message) []time.Duration
+		lostRegistrar bool
 	}{
 		{"sound links", nil, false},
 		{"a third lost, late and repeated", lossy(11, 0.33, 0.3, 40*time.Millisecond), false},
-		{"a keeper lost", nil, true},
+		{"a registrar lost", nil, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := tcpSetup()
@@ -54,7 +54,7 @@
 				}
 			}
 			require.NotEmpty(t, held)
-			if test.lostKeeper {
+			if test.lostRegistrar {
 				x.node(2).down = true
 				x.status(2, view.Failed)
 			}
@@ -139,12 +139,12 @@
 	n := x.crash(i)
 	x.run(time.Second)
 	require.EqualValues(t, 1, n.core.oldest.Load(), "flows of the first life were taken over")
-	keeper := x.node(n.core.keepers(x.svc(), testHasher.Hash(c.key)).members[0])
+	registrar := x.node(n.core.registrars(x.svc(), testHasher.Hash(c.key)).members[0])
 	old := &peer.Message{Register: &peer.Register{Holder: n.id, Incarnation: 1}}
-	x.message(keeper, old)
+	x.message(registrar, old)
 	require.Equal(t, 1, x.drops[StaleIncarnation])
-	x.message(keeper, &peer.Message{Unregister: &peer.Unregister{Holder: n.id, Incarnation: 1, Flows: []flow.Key{c.key}}})
-	_, kept := keeper.core.peers.find(flowRef{hash: testHasher.Hash(c.key), key: c.key})
+	x.message(registrar, &peer.Message{Unregister: &peer.Unregister{Holder: n.id, Incarnation: 1, Flows: []flow.Key{c.key}}})
+	_, kept := registrar.core.peers.find(flowRef{hash: testHasher.Hash(c.key), key: c.key})
 	require.True(t, kept)
 
 	x.restart(i, false)
@@ -264,7 +264,7 @@
 		if c.holder() == nil {
 			continue
 		}
-		k := c.holder().core.keepers(x.svc(), testHasher.Hash(c.key))
+		k := c.holder().core.registrars(x.svc(), testHasher.Hash(c.key))
 		for _, i := range k.members[:k.count] {
 			_, kept := x.node(i).core.peers.find(flowRef{hash: testHasher.Hash(c.key), key: c.key})
 			require.True(t, kept)
@@ -300,7 +300,7 @@
 	x.run(5 * time.Minute)
 	require.Less(t, sent/300/len(x.nodes), 3000, "bytes a second and node")
 	for _, c := range callers {
-		k := c.holder().core.keepers(x.svc(), testHasher.Hash(c.key))
+		k := c.holder().core.registrars(x.svc(), testHasher.Hash(c.key))
 		for _, i := range k.members[:k.count] {
 			reg, kept := x.node(i).core.peers.find(flowRef{hash: testHasher.Hash(c.key), key: c.key})
 			require.True(t, kept)
--- a/internal/agent/registering.go
+++ b/internal/agent/registering.go
@@ -82,15 +82,15 @@
 	return move, first, end
 }
 
-// keeperSet holds the members that keep the registration of a flow.
-type keeperSet struct {
+// registrarSet holds the members that keep the registration of a flow.
+type registrarSet struct {
 	members [registrationCopies]int
 	count   int
 }
 
-// keepers returns the first members in rank other than this agent.
-func (c *Core) keepers(svc *view.Service, hash uint64) keeperSet {
-	var k keeperSet
+// registrars returns the first members in rank other than this agent.
+func (c *Core) registrars(svc *view.Service, hash uint64) registrarSet {
+	var k registrarSet
 	skip := c.selfBit(svc)
 	for k.count < registrationCopies {
 		i := svc.Next(hash, skip)
@@ -104,13 +104,13 @@
 	return k
 }
 
-// knew reports whether a member was a keeper of a flow in an earlier view and
+// knew reports whether a member was a registrar of a flow in an earlier view and
 // has not restarted since.
 func (c *Core) knew(former *view.Service, hash uint64, u *view.Upstream) bool {
 	if former == nil {
 		return false
 	}
-	k := c.keepers(former, hash)
+	k := c.registrars(former, hash)
 	for _, i := range k.members[:k.count] {
 		if former.Members[i].VM == u.VM && former.Members[i].Incarnation == u.Incarnation {
 			return true
@@ -119,12 +119,12 @@
 	return false
 }
 
-// announceFlow tells the first keeper and the balancer about a flow that was
+// announceFlow tells the first registrar and the balancer about a flow that was
 // admitted. If this agent is the flow's home, balancers find it without a hint.
-// The second keeper serves recovery only and gets flows in batches once they
+// The second registrar serves recovery only and gets flows in batches once they
 // are confirmed, which spares short flows that message. While views may differ,
 // others may take another member for home, so that the balancer and both
-// keepers are told at once.
+// registrars are told at once.
 func (c *Core) announceFlow(a *arrival, record peer.FlowRecord, out *Actions) {
 	c.observed.openings.Add(1)
 	settled := c.settled(a.now, a.svc)
@@ -132,7 +132,7 @@
 	if !settled || home < 0 || a.svc.Hashes[home] != c.selfHash {
 		c.hintOrigin(a, c.cfg.VM, c.cfg.Incarnation, out)
 	}
-	k := c.keepers(a.svc, a.hash)
+	k := c.registrars(a.svc, a.hash)
 	told := k.count
 	if settled {
 		told = min(told, 1)
@@ -149,7 +149,7 @@
 	}})
 }
 
-// batches collects records by keeper.
+// batches collects records by registrar.
 type batches [][]peer.FlowRecord
 
 func (c *Core) sendBatches(svc *view.Service, b batches, out *Actions) {
@@ -166,8 +166,8 @@
 	return cmp.Or(cmp.Compare(a.OpenedAt, b.OpenedAt), a.Key.Caller.Compare(b.Key.Caller))
 }
 
-// register tells the keepers what is due: flows that have ended or were
-// confirmed, flows whose keepers changed with the view, and renewals.
+// register tells the registrars what is due: flows that have ended or were
+// confirmed, flows whose registrars changed with the view, and renewals.
 func (c *Core) register(now time.Time, svc *view.Service, out *Actions) {
 	ended, confirmed := c.outbox.takeDue(now)
 	move, first, end := c.outbox.visits(now)
@@ -198,14 +198,14 @@
 	return s.announced == nil || !s.announced.ChangedAt.Equal(svc.ChangedAt)
 }
 
-// visit collects the flows of a shard with a keeper that does not know them.
+// visit collects the flows of a shard with a registrar that does not know them.
 func (c *Core) visit(s *flowShard, svc *view.Service, b batches) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	former := s.announced
 	s.announced = svc
 	for _, f := range s.flows {
-		k := c.keepers(svc, f.hash)
+		k := c.registrars(svc, f.hash)
 		for _, member := range k.members[:k.count] {
 			if !c.knew(former, f.hash, &svc.Members[member]) {
 				b[member] = append(b[member], f.record(c.cfg.Incarnation))
@@ -221,13 +221,13 @@
 	if f.marks.has(removed) || f.phase != flow.Established {
 		return
 	}
-	k := c.keepers(svc, f.hash)
+	k := c.registrars(svc, f.hash)
 	for _, member := range k.members[:k.count] {
 		b[member] = append(b[member], f.record(c.cfg.Incarnation))
 	}
 }
 
-// unregister tells the keepers which flows have ended, except for those whose
+// unregister tells the registrars which flows have ended, except for those whose
 // key is in use again.
 func (c *Core) unregister(now time.Time, svc *view.Service, ended []flowRef, out *Actions) {
 	keys := make([][]flow.Key, len(svc.Members))
@@ -235,7 +235,7 @@
 		if c.holds(ref) {
 			continue
 		}
-		k := c.keepers(svc, ref.hash)
+		k := c.registrars(svc, ref.hash)
 		for _, member := range k.members[:k.count] {
 			keys[member] = append(keys[member], ref.key)
 		}
--- a/internal/agent/registry.go
+++ b/internal/agent/registry.go
@@ -12,7 +12,7 @@
 
 const (
 	// registryShards equals the number of shards of the flow table, so that a
-	// bucket of a renewal is one shard at the holder and at the keeper.
+	// bucket of a renewal is one shard at the holder and at the registrar.
 	registryShards = flowShards
 	// registrationLifetime lets two renewals get lost.
 	registrationLifetime = 100 * time.Second
--- a/internal/agent/renewal.go
+++ b/internal/agent/renewal.go
@@ -12,7 +12,7 @@
 const (
 	// refreshInterval is the time in which a holder renews all registrations.
 	refreshInterval = 30 * time.Second
-	// shardsPerRenewal are summed up in one message to each keeper.
+	// shardsPerRenewal are summed up in one message to each registrar.
 	shardsPerRenewal = 8
 	// renewalAge is the age from which a flow is part of a sum: messages about
 	// younger ones may be under way.
@@ -20,7 +20,7 @@
 )
 
 // renewals paces the renewal of registrations. A renewal sends a sum over the
-// flows of a shard in place of the flows: 3,200 flows with two keepers would
+// flows of a shard in place of the flows: 3,200 flows with two registrars would
 // take 10 KB/s.
 type renewals struct {
 	progress float64
@@ -60,7 +60,7 @@
 	s.digest ^= z ^ (z >> 31)
 }
 
-// renew sends each keeper the sums of the shards whose renewal is due.
+// renew sends each registrar the sums of the shards whose renewal is due.
 func (c *Core) renew(now time.Time, svc *view.Service, first, end int, out *Actions) {
 	if first == end {
 		return
@@ -86,7 +86,7 @@
 	}
 }
 
-// sumShard returns the sum of the flows of a shard for each keeper.
+// sumShard returns the sum of the flows of a shard for each registrar.
 func (c *Core) sumShard(svc *view.Service, number int, before int64) []bucketSum {
 	sums := make([]bucketSum, len(svc.Members))
 	s := &c.flows.shards[number]
@@ -96,7 +96,7 @@
 		if f.openedAt >= before {
 			continue
 		}
-		k := c.keepers(svc, f.hash)
+		k := c.registrars(svc, f.hash)
 		for _, member := range k.members[:k.count] {
 			sums[member].add(f.hash, f.openedAt, f.phase != flow.HalfOpen)
 		}
@@ -153,31 +153,31 @@
 	return true
 }
 
-// handleRenewAnswer registers the flows of some shards again at one keeper.
+// handleRenewAnswer registers the flows of some shards again at one registrar.
 func (c *Core) handleRenewAnswer(svc *view.Service, m *peer.RenewAnswer, out *Actions) {
-	keeper := svc.Index(m.From)
-	if keeper < 0 || m.Incarnation != c.cfg.Incarnation {
+	registrar := svc.Index(m.From)
+	if registrar < 0 || m.Incarnation != c.cfg.Incarnation {
 		return
 	}
 	b := make(batches, len(svc.Members))
 	for _, number := range m.Wanted {
 		if int(number) < flowShards {
-			b[keeper] = append(b[keeper], c.recordsFor(svc, int(number), m.From)...)
+			b[registrar] = append(b[registrar], c.recordsFor(svc, int(number), m.From)...)
 		}
 	}
 	c.sendBatches(svc, b, out)
 }
 
-// recordsFor returns the flows of a shard that a keeper should know.
-func (c *Core) recordsFor(svc *view.Service, number int, keeper vm.ID) []peer.FlowRecord {
+// recordsFor returns the flows of a shard that a registrar should know.
+func (c *Core) recordsFor(svc *view.Service, number int, registrar vm.ID) []peer.FlowRecord {
 	var records []peer.FlowRecord
 	s := &c.flows.shards[number]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, f := range s.flows {
-		k := c.keepers(svc, f.hash)
+		k := c.registrars(svc, f.hash)
 		for _, member := range k.members[:k.count] {
-			if svc.Members[member].VM == keeper {
+			if svc.Members[member].VM == registrar {
 				records = append(records, f.record(c.cfg.Incarnation))
 			}
 		}
--- a/internal/balancer/core_test.go
+++ b/internal/balancer/core_test.go
@@ -195,7 +195,7 @@
 }
 
 // Guards against flows that stall while their home is lost and the loss is not
-// known yet: a retransmission must reach another keeper of the registration.
+// known yet: a retransmission must reach another registrar of the registration.
 func TestRetransmissionGoesToNextRank(t *testing.T) {
 	c := newFixture(7).core(Config{})
 	var d Decision
--- a/internal/controlapi/api.go
+++ b/internal/controlapi/api.go
@@ -1,7 +1,7 @@
 // Package controlapi holds the methods and messages that operators and
-// processes exchange over jsonrpc2. Every program that has an address for
-// control serves StatusGet, EventsList and ExplainFlow; bramley-control serves
-// all of them.
+// processes exchange over jsonrpc2. Balancers and agents serve StatusGet,
+// EventsList and ExplainFlow; bramley-control serves all methods but
+// ExplainFlow, since it sees no flows.
 package controlapi
 
 import (
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -83,7 +83,7 @@
 	Digest uint64
 }
 
-// RenewAnswer names the buckets whose flows the keeper wants to be registered
+// RenewAnswer names the buckets whose flows the registrar wants to be registered
 // again, because its own sum differs.
 type RenewAnswer struct {
 	From        vm.ID          `cbor:"1,keyasint"`
