Path tests over IPv6 and for ICMP errors

Cause: the adapters were tested with IPv4 packets only, and no test sent an ICMP error through them. Change: the exchange runs in both IP versions; an ICMP error reaches the upstream of the flow that it quotes.

--- a/internal/node/path_test.go
+++ b/internal/node/path_test.go
@@ -35,6 +35,7 @@
 // and of the upstreams are made and read by the test.
 type testPath struct {
 	t        *testing.T
+	at       pathAddresses
 	balancer *Balancer
 	agents   []*Agent
 	caller   *udplink.Link
@@ -47,7 +48,29 @@
 
 func newTestPath(t *testing.T, protocol service.Protocol) *testPath {
 	t.Helper()
-	p := &testPath{t: t, spans: tracetest.NewInMemoryExporter()}
+	return newTestPathAt(t, protocol, addresses4)
+}
+
+// pathAddresses are the addresses of a test path in one IP version.
+type pathAddresses struct {
+	caller, virtual, upstream netip.AddrPort
+	aliases                   netip.Prefix
+}
+
+var (
+	addresses4 = pathAddresses{
+		caller: testCaller, virtual: testVirtual,
+		upstream: netip.MustParseAddrPort("203.0.113.1:9000"), aliases: netip.MustParsePrefix("203.0.113.128/25"),
+	}
+	addresses6 = pathAddresses{
+		caller: netip.MustParseAddrPort("[2001:db8:1::10]:40000"), virtual: netip.MustParseAddrPort("[2001:db8:2::1]:8080"),
+		upstream: netip.MustParseAddrPort("[2001:db8:3::1]:9000"), aliases: netip.MustParsePrefix("2001:db8:4::/112"),
+	}
+)
+
+func newTestPathAt(t *testing.T, protocol service.Protocol, at pathAddresses) *testPath {
+	t.Helper()
+	p := &testPath{t: t, at: at, spans: tracetest.NewInMemoryExporter()}
 	provider := sdktrace.NewTracerProvider(sdktrace.WithSyncer(p.spans))
 	config := func(id vm.ID) Config {
 		return Config{
@@ -61,7 +84,7 @@
 	p.balancer, err = NewBalancer(config("balancer-1"), p.packets)
 	require.NoError(t, err)
 	state := &intent.State{Revision: 1, Services: []intent.Service{{
-		ID: 1, Name: "orders", Endpoint: service.Endpoint{Address: testVirtual, Protocol: protocol}, Traffic: true,
+		ID: 1, Name: "orders", Endpoint: service.Endpoint{Address: at.virtual, Protocol: protocol}, Traffic: true,
 		Contract: service.Contract{Idempotent: true, Shape: service.ShortRequests, QueueDeadline: time.Second, Priority: service.PreferSurvival},
 	}}}
 	members := []view.Member{{VM: "balancer-1", Role: vm.RoleBalancer, Zone: testZone, Address: p.balancer.cfg.Address, Status: view.Ready}}
@@ -69,7 +92,7 @@
 	for _, id := range []vm.ID{"orders-1", "orders-2"} {
 		device := openPackets(t, p.upstream.Address())
 		a, err := NewAgent(AgentConfig{
-			Config: config(id), Upstream: netip.MustParseAddrPort("203.0.113.1:9000"), Aliases: netip.MustParsePrefix("203.0.113.128/25"),
+			Config: config(id), Upstream: at.upstream, Aliases: at.aliases,
 		}, device)
 		require.NoError(t, err)
 		p.agents, p.devices = append(p.agents, a), append(p.devices, device)
@@ -182,7 +205,14 @@
 }, payload string,
 ) []byte {
 	t.Helper()
-	ip := &layers.IPv4{Version: 4, TTL: 64, Protocol: protocol, SrcIP: net.IP(source.Addr().AsSlice()), DstIP: net.IP(destination.Addr().AsSlice())}
+	from, to := net.IP(source.Addr().AsSlice()), net.IP(destination.Addr().AsSlice())
+	var ip interface {
+		gopacket.SerializableLayer
+		gopacket.NetworkLayer
+	} = &layers.IPv4{Version: 4, TTL: 64, Protocol: protocol, SrcIP: from, DstIP: to}
+	if source.Addr().Is6() {
+		ip = &layers.IPv6{Version: 6, HopLimit: 64, NextHeader: protocol, SrcIP: from, DstIP: to}
+	}
 	require.NoError(t, transport.SetNetworkLayerForChecksum(ip))
 	buffer := gopacket.NewSerializeBuffer()
 	options := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
@@ -193,18 +223,24 @@
 // Guards against a TCP exchange whose packets change on the way in anything
 // but the addresses, and against a trace that loses a hop.
 func TestExchangeThroughBalancerAndAgent(t *testing.T) {
-	p := newTestPath(t, service.TCP)
-	p.send(tcpSegment(t, testCaller, testVirtual, layers.TCP{SYN: true, Seq: 100}, ""))
+	t.Run("IPv4", func(t *testing.T) { requireExchange(t, addresses4) })
+	t.Run("IPv6", func(t *testing.T) { requireExchange(t, addresses6) })
+}
+
+func requireExchange(t *testing.T, at pathAddresses) {
+	t.Helper()
+	p := newTestPathAt(t, service.TCP, at)
+	p.send(tcpSegment(t, at.caller, at.virtual, layers.TCP{SYN: true, Seq: 100}, ""))
 	_, syn := p.receive(p.upstream)
-	require.Equal(t, "203.0.113.1:9000", syn.Destination.String())
-	require.Equal(t, testCaller.Port(), syn.Source.Port())
+	require.Equal(t, at.upstream, syn.Destination)
+	require.Equal(t, at.caller.Port(), syn.Source.Port())
 	require.Equal(t, uint32(100), syn.Sequence)
 	p.answer(tcpSegment(t, syn.Destination, syn.Source, layers.TCP{SYN: true, ACK: true, Seq: 500, Ack: 101}, ""))
 	_, synAck := p.receive(p.upstream)
-	require.Equal(t, testVirtual, synAck.Source)
-	require.Equal(t, testCaller, synAck.Destination)
+	require.Equal(t, at.virtual, synAck.Source)
+	require.Equal(t, at.caller, synAck.Destination)
 	require.Equal(t, uint32(500), synAck.Sequence)
-	p.send(tcpSegment(t, testCaller, testVirtual, layers.TCP{ACK: true, PSH: true, Seq: 101, Ack: 501}, "order 1"))
+	p.send(tcpSegment(t, at.caller, at.virtual, layers.TCP{ACK: true, PSH: true, Seq: 101, Ack: 501}, "order 1"))
 	b, request := p.receive(p.upstream)
 	require.Equal(t, syn.Source, request.Source)
 	require.Equal(t, "order 1", string(b[len(b)-7:]))
@@ -299,3 +335,25 @@
 	require.True(t, m.Flags.Has(packet.RST))
 	require.Equal(t, uint32(8), m.Ack)
 }
+
+// Guards against ICMP errors that are lost or reach the upstream with the
+// addresses of the caller's side, so that path MTU discovery fails.
+func TestICMPErrorReachesUpstream(t *testing.T) {
+	p := newTestPath(t, service.TCP)
+	p.send(tcpSegment(t, testCaller, testVirtual, layers.TCP{SYN: true, Seq: 100}, ""))
+	_, syn := p.receive(p.upstream)
+	quoted := tcpSegment(t, testVirtual, testCaller, layers.TCP{ACK: true, Seq: 501}, "")
+	router := net.IPv4(192, 0, 2, 254)
+	ip := &layers.IPv4{Version: 4, TTL: 64, Protocol: layers.IPProtocolICMPv4, SrcIP: router, DstIP: net.IP(testVirtual.Addr().AsSlice())}
+	icmp := &layers.ICMPv4{TypeCode: layers.CreateICMPv4TypeCode(layers.ICMPv4TypeDestinationUnreachable, layers.ICMPv4CodeFragmentationNeeded)}
+	buffer := gopacket.NewSerializeBuffer()
+	options := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
+	require.NoError(t, gopacket.SerializeLayers(buffer, options, ip, icmp, gopacket.Payload(quoted[:28])))
+	p.send(buffer.Bytes())
+	b, m := p.receive(p.upstream)
+	require.True(t, m.Quoted)
+	// Parse shows the quoted packet as if it had been answered.
+	require.Equal(t, syn.Destination, m.Destination)
+	require.Equal(t, syn.Source, m.Source)
+	require.Equal(t, router.To4(), net.IP(b[12:16]))
+}
