--- a/internal/fleet/process_test.go
+++ b/internal/fleet/process_test.go
@@ -84,7 +84,7 @@
 
 // Guards against parts that work only inside one process: one control process,
 // two balancers and two agents with keys, TLS and an imported inventory answer
-// an ordinary HTTP request.
+// an ordinary HTTP request, and keep a download while both agents restart.
 func TestSeparateProcesses(t *testing.T) {
 	lockMachine(t)
 	p := buildPrograms(t)
@@ -117,20 +117,40 @@
 			"--packet-address", address.String(), "--packet-sink", fabric.Address().String())
 	}
 	fabric.SetBalancers(packets)
+	restart := make([]func(), 2)
 	for i, zone := range []string{"local/a", "local/b"} {
 		id, host := fmt.Sprintf("orders-%d", i+1), fmt.Sprintf("198.19.2%d.1", i+1)
 		device := fmt.Sprintf("btp-a%d", i+1)
 		t.Cleanup(func() { _ = tun.Remove(device) })
-		p.start("bramley-agent", "--vm", id, "--zone", zone, "--address", free(t),
+		args := []string{
+			"--vm", id, "--zone", zone, "--address", free(t),
 			"--control", control, "--seeds", gossip, "--keys", p.issue("agent", id), "--service", "orders",
-			"--upstream", host+":9000", "--aliases", fmt.Sprintf("198.19.2%d.128/25", i+1), "--device", device, "--device-address", host+"/32",
-			"--data-folder", filepath.Join(p.data, id))
+			"--upstream", host + ":9000", "--aliases", fmt.Sprintf("198.19.2%d.128/25", i+1), "--device", device, "--device-address", host + "/32",
+			"--data-folder", filepath.Join(p.data, id),
+		}
+		running := p.start("bramley-agent", args...)
+		restart[i] = func() {
+			require.NoError(t, running.Process.Signal(syscall.SIGTERM))
+			require.NoError(t, running.Wait())
+			p.start("bramley-agent", args...)
+		}
 		p.serve(ctx, id, host+":9000")
 	}
 	inventory := filepath.Join(p.data, "inventory.csv")
 	require.NoError(t, os.WriteFile(inventory, []byte(processInventory), 0o600))
 	p.ctl("--control", control, "--keys", operator, "inventory", "import", inventory)
 	p.request(virtual)
+	// A download survives the planned restart of every agent.
+	done := make(chan error, 1)
+	go func() {
+		_, err := download(ctx, virtual.String(), 1)
+		done <- err
+	}()
+	for _, again := range restart {
+		time.Sleep(time.Second)
+		again()
+	}
+	require.NoError(t, <-done)
 	require.Contains(t, p.ctl("--control", control, "--keys", operator, "status"), "control-1")
 }
 
