Drain, hints, trace sampling and file replacement stand once

Cause: the read-through found logic twice: internal/node had its own quiet time, sampling and explanation of hints beside those of the balancer core, and node and keys each replaced files. Change: the adapter uses Drain, MayStop, Quiet, Sampled and Explain of the core; openings are traced at random instead of each n-th, also datagrams without a hint; internal/durable replaces files. TestOnlyPacketsOfCallersProlongTheStop asks the core for the quiet time and checks the same.

--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -144,11 +144,12 @@
 		c.noUpstream(m, d)
 		return
 	}
-	if sheddable(m, d.Header.Flags.Has(frame.FlagHinted)) && c.overloaded(now) {
+	mayOpen := sheddable(m, d.Header.Flags.Has(frame.FlagHinted))
+	if mayOpen && c.overloaded(now) {
 		d.Reason = Overloaded
 		return
 	}
-	d.Sampled = syn && c.sampler.sample()
+	d.Sampled = mayOpen && c.sampler.sample()
 	d.Verdict, d.To = Send, &d.Service.Members[target]
 }
 
@@ -209,12 +210,6 @@
 	c.hints.put(hash, hint{holder: ranking.MemberHash(h.Holder), incarnation: h.Incarnation})
 }
 
-// Hint returns the member hash of the holder that a hint names.
-func (c *Core) Hint(key flow.Key) (member uint64, ok bool) {
-	h, ok := c.hints.get(c.cfg.Hasher.Hash(key))
-	return h.holder, ok
-}
-
 // Hints returns how many hints are kept.
 func (c *Core) Hints() int { return c.hints.len() }
 
--- /dev/null
+++ b/internal/durable/durable_test.go
@@ -0,0 +1,33 @@
+package durable
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a file that is lost, half written or open to others, and
+// against temporary files that stay behind when the replacement fails.
+func TestReplaceFile(t *testing.T) {
+	folder := t.TempDir()
+	path := filepath.Join(folder, "file")
+	for _, content := range []string{"first", "second"} {
+		require.NoError(t, ReplaceFile(path, []byte(content), 0o600))
+		got, err := os.ReadFile(path)
+		require.NoError(t, err)
+		require.Equal(t, content, string(got))
+	}
+	info, err := os.Stat(path)
+	require.NoError(t, err)
+	require.Equal(t, os.FileMode(0o600), info.Mode().Perm())
+	// A folder that is not empty cannot be replaced by a file.
+	taken := filepath.Join(folder, "taken")
+	require.NoError(t, os.MkdirAll(filepath.Join(taken, "inner"), 0o700))
+	require.Error(t, ReplaceFile(taken, []byte("x"), 0o600))
+	require.Error(t, ReplaceFile(filepath.Join(folder, "missing", "file"), []byte("x"), 0o600))
+	entries, err := os.ReadDir(folder)
+	require.NoError(t, err)
+	require.Len(t, entries, 2)
+}
--- a/internal/keys/authority.go
+++ b/internal/keys/authority.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"time"
 
+	"bramleyhold.example/bramleyhold/internal/durable"
 	"bramleyhold.example/bramleyhold/internal/rpc"
 	"bramleyhold.example/bramleyhold/internal/vm"
 )
@@ -59,10 +60,10 @@
 	if err != nil {
 		return err
 	}
-	if err := writeFile(filepath.Join(dir, caKeyFile), keyText, privateMode); err != nil {
+	if err := durable.ReplaceFile(filepath.Join(dir, caKeyFile), keyText, privateMode); err != nil {
 		return err
 	}
-	if err := writeFile(filepath.Join(dir, caFile), encodeCertificate(der), publicMode); err != nil {
+	if err := durable.ReplaceFile(filepath.Join(dir, caFile), encodeCertificate(der), publicMode); err != nil {
 		return err
 	}
 	if err := writeFlowSecret(filepath.Join(dir, flowFile)); err != nil {
@@ -143,7 +144,7 @@
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return Issued{}, err
 	}
-	if err := writeFile(filepath.Join(folder, caFile), caText, publicMode); err != nil {
+	if err := durable.ReplaceFile(filepath.Join(folder, caFile), caText, publicMode); err != nil {
 		return Issued{}, err
 	}
 	if r.Role != rpc.RoleOperator {
@@ -152,7 +153,7 @@
 		}
 	}
 	// The certificate is last: a folder with a certificate is complete.
-	if err := writeFile(filepath.Join(folder, tlsFile), content, privateMode); err != nil {
+	if err := durable.ReplaceFile(filepath.Join(folder, tlsFile), content, privateMode); err != nil {
 		return Issued{}, err
 	}
 	return Issued{Folder: folder, NotAfter: notAfter}, nil
--- a/internal/keys/files.go
+++ b/internal/keys/files.go
@@ -1,10 +1,8 @@
 package keys
 
 import (
-	"errors"
 	"fmt"
 	"os"
-	"path/filepath"
 )
 
 // The files of the cluster folder and of the folder of each VM.
@@ -32,43 +30,6 @@
 
 func (e *StateError) Error() string { return e.Path + ": " + e.Reason }
 
-// writeFile replaces a file as a whole: after a crash there is either the old
-// or the new content, and never a private key that others can read.
-func writeFile(path string, content []byte, mode os.FileMode) (err error) {
-	dir := filepath.Dir(path)
-	f, err := os.CreateTemp(dir, "."+filepath.Base(path)+"-*")
-	if err != nil {
-		return fmt.Errorf("write %s: %w", path, err)
-	}
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("write %s: %w", path, errors.Join(err, os.Remove(f.Name())))
-		}
-	}()
-	_, err = f.Write(content)
-	if err == nil {
-		err = f.Chmod(mode)
-	}
-	if err == nil {
-		err = f.Sync()
-	}
-	if err = errors.Join(err, f.Close()); err != nil {
-		return err
-	}
-	if err = os.Rename(f.Name(), path); err != nil {
-		return err
-	}
-	return syncFolder(dir)
-}
-
-func syncFolder(dir string) error {
-	f, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	return errors.Join(f.Sync(), f.Close())
-}
-
 // readPrivate refuses a file that others can read.
 func readPrivate(path string) ([]byte, error) {
 	info, err := os.Stat(path)
--- a/internal/keys/flows.go
+++ b/internal/keys/flows.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"path/filepath"
 
+	"bramleyhold.example/bramleyhold/internal/durable"
 	"bramleyhold.example/bramleyhold/internal/flow"
 )
 
@@ -28,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	return writeFile(path, append(text, '\n'), privateMode)
+	return durable.ReplaceFile(path, append(text, '\n'), privateMode)
 }
 
 // LoadFlowHasher reads the secret of flow hashes from the folder of a VM. All
--- a/internal/keys/frames.go
+++ b/internal/keys/frames.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 
+	"bramleyhold.example/bramleyhold/internal/durable"
 	"bramleyhold.example/bramleyhold/internal/frame"
 )
 
@@ -59,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	return writeFile(path, append(text, '\n'), privateMode)
+	return durable.ReplaceFile(path, append(text, '\n'), privateMode)
 }
 
 func readFrameKeys(path string) (frameKeys, error) {
@@ -186,7 +187,7 @@
 		if bytes.Equal(have, want) {
 			continue
 		}
-		if err := writeFile(path, want, privateMode); err != nil {
+		if err := durable.ReplaceFile(path, want, privateMode); err != nil {
 			return updated, err
 		}
 		updated = append(updated, filepath.Dir(path))
@@ -207,7 +208,7 @@
 		if err != nil {
 			return err
 		}
-		if err := writeFile(filepath.Join(folder, name), content, privateMode); err != nil {
+		if err := durable.ReplaceFile(filepath.Join(folder, name), content, privateMode); err != nil {
 			return err
 		}
 	}
--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -5,9 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"os"
-	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -26,24 +26,20 @@
 	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
-// quietBeforeStop is how long no packet may have come before a stopping
-// balancer ends.
-const quietBeforeStop = 5 * time.Second
-
 // Balancer runs one balancer.
 type Balancer struct {
 	*base
-	core       *balancer.Core
-	device     Device
-	lastPacket atomic.Int64
-	openings   atomic.Uint64
-	stopping   atomic.Bool
+	core   *balancer.Core
+	device Device
 }
 
 // NewBalancer opens the frame link. Run must be called to start.
 func NewBalancer(cfg Config, device Device) (*Balancer, error) {
 	cfg.Role = vm.RoleBalancer
-	b := &Balancer{device: device, core: balancer.New(balancer.Config{VM: cfg.VM, Hasher: cfg.Hasher, OpeningsPerSecond: cfg.MaxOpenings})}
+	b := &Balancer{device: device, core: balancer.New(balancer.Config{
+		VM: cfg.VM, Hasher: cfg.Hasher, OpeningsPerSecond: cfg.MaxOpenings,
+		TraceShare: traceShare(cfg.TraceEvery), Random: rand.New(rand.NewPCG(cfg.Seed, traceStream)),
+	})}
 	common, err := newBase(cfg, view.Ready, b.core.SetView, b.operatorMethods())
 	if err != nil {
 		return nil, err
@@ -52,6 +48,18 @@
 	return b, nil
 }
 
+// traceStream keeps the choice of traced openings apart from other choices that
+// use the same seed.
+const traceStream = 2
+
+// traceShare returns the share of openings that are traced.
+func traceShare(every int) float64 {
+	if every <= 0 {
+		return 0
+	}
+	return 1 / float64(every)
+}
+
 // Run forwards packets until the context ends.
 func (b *Balancer) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -66,12 +74,11 @@
 // Drain announces that the balancer is leaving and returns when no packet has
 // come for a while. It has no time limit of its own.
 func (b *Balancer) Drain(ctx context.Context) error {
-	b.stopping.Store(true)
-	b.lastPacket.Store(time.Now().UnixNano())
+	b.core.Drain(time.Now())
 	b.liveness.announce(view.Leaving)
-	ticker := time.NewTicker(quietBeforeStop / 10)
+	ticker := time.NewTicker(balancer.QuietBeforeStop / 10)
 	defer ticker.Stop()
-	for b.quietFor() < quietBeforeStop {
+	for !b.core.MayStop(time.Now()) {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -82,19 +89,15 @@
 	return nil
 }
 
-func (b *Balancer) quietFor() time.Duration {
-	return time.Since(time.Unix(0, b.lastPacket.Load()))
-}
-
 // Stopping reports whether Drain was called.
-func (b *Balancer) Stopping() bool { return b.stopping.Load() }
+func (b *Balancer) Stopping() bool { return b.core.State() == balancer.Draining }
 
 // WaitingFor says what a stopping balancer still waits for.
 func (b *Balancer) WaitingFor() string {
 	if !b.Stopping() {
 		return ""
 	}
-	return fmt.Sprintf("no packet for %s (last one %s ago)", quietBeforeStop, b.quietFor().Round(time.Millisecond))
+	return fmt.Sprintf("no packet for %s (last one %s ago)", balancer.QuietBeforeStop, b.core.Quiet(time.Now()).Round(time.Millisecond))
 }
 
 // batchDevice is a device that reads several packets with one system call.
@@ -184,9 +187,8 @@
 		b.transport.countPacket(err)
 		return
 	}
-	// Packets of other protocols do not count: the kernel sends router
+	// Packets of other protocols do not get here: the kernel sends router
 	// solicitations into a TUN device, which would prolong a planned stop.
-	b.lastPacket.Store(now.UnixNano())
 	b.core.Decide(now, &f.meta, &f.decision)
 	switch f.decision.Verdict {
 	case balancer.Send:
@@ -224,10 +226,9 @@
 	f.forwarded.Inc(1)
 }
 
-// trace starts a trace for one of so many openings.
+// trace starts the trace of an opening that the core has chosen.
 func (f *forwarder) trace() {
-	every := uint64(f.b.cfg.TraceEvery)
-	if every == 0 || !f.meta.Opening() || f.b.openings.Add(1)%every != 0 {
+	if !f.decision.Sampled {
 		return
 	}
 	context, span := f.b.cfg.Tracer.Start("balancer.opening",
@@ -300,20 +301,10 @@
 	}
 }
 
-// explainHint adds where the hint, if there is one, sends the flow.
+// explainHint adds what the core knows about the flow.
 func (b *Balancer) explainHint(request controlapi.ExplainRequest) controlapi.Explanation {
 	answer := b.explain(request)
-	svc := b.latest().ServiceByEndpoint(request.Endpoint)
-	if svc == nil {
-		return answer
-	}
-	if member, ok := b.core.Hint(explainKey(request)); ok {
-		if i := svc.IndexByHash(member); i >= 0 {
-			answer.Holder = svc.Members[i].VM
-			answer.Reasons = append(answer.Reasons, "a hint names the holder")
-			return answer
-		}
-	}
-	answer.Reasons = append(answer.Reasons, "no hint: openings go to the placer, other packets to the home")
+	known := b.core.Explain(explainKey(request))
+	answer.Holder, answer.Reasons = known.Holder, known.Reasons
 	return answer
 }
--- a/internal/node/intentfile.go
+++ b/internal/node/intentfile.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"bramleyhold.example/bramleyhold/internal/durable"
 	"bramleyhold.example/bramleyhold/internal/intent"
 )
 
@@ -94,41 +95,15 @@
 	return replaceFile(f.folder, intentFileName, b)
 }
 
-// replaceFile writes a file so that after a crash either the old or the new
-// content is there.
+// replaceFile replaces a file of the data folder, which it creates if needed.
 func replaceFile(folder, name string, content []byte) error {
-	if err := os.MkdirAll(folder, 0o700); err != nil {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return fmt.Errorf("data folder: %w", err)
 	}
-	temporary, err := os.CreateTemp(folder, name+".*")
-	if err != nil {
-		return fmt.Errorf("create %s: %w", name, err)
-	}
-	defer func() { _ = os.Remove(temporary.Name()) }()
-	_, err = temporary.Write(content)
-	if err == nil {
-		err = temporary.Sync()
-	}
-	if closeErr := temporary.Close(); err == nil {
-		err = closeErr
-	}
-	if err != nil {
-		return fmt.Errorf("write %s: %w", name, err)
-	}
-	if err := os.Rename(temporary.Name(), filepath.Join(folder, name)); err != nil {
-		return fmt.Errorf("replace %s: %w", name, err)
-	}
-	return syncFolder(folder)
+	return durable.ReplaceFile(filepath.Join(folder, name), content, fileMode)
 }
 
-func syncFolder(folder string) error {
-	d, err := os.Open(folder)
-	if err != nil {
-		return fmt.Errorf("open data folder: %w", err)
-	}
-	defer func() { _ = d.Close() }()
-	if err := d.Sync(); err != nil {
-		return fmt.Errorf("sync data folder: %w", err)
-	}
-	return nil
-}
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+)
--- a/internal/node/quiet_test.go
+++ b/internal/node/quiet_test.go
@@ -14,9 +14,11 @@
 	f := b.newForwarder()
 	routerSolicitation := append([]byte{0x60, 0, 0, 0, 0, 8, 58, 255}, make([]byte, 40)...)
 	routerSolicitation[40] = 133
-	f.handle(time.Now(), routerSolicitation)
-	require.Zero(t, b.lastPacket.Load())
-	now := time.Now()
-	f.handle(now, innerPacket(t))
-	require.Equal(t, now.UnixNano(), b.lastPacket.Load())
+	begin := time.Now()
+	b.core.Drain(begin)
+	later := begin.Add(time.Second)
+	f.handle(later, routerSolicitation)
+	require.Equal(t, time.Second, b.core.Quiet(later))
+	f.handle(later, innerPacket(t))
+	require.Zero(t, b.core.Quiet(later))
 }
--- a/internal/nodecmd/settings.go
+++ b/internal/nodecmd/settings.go
@@ -30,7 +30,7 @@
 	settings.Add(s, &n.Seeds, "seeds", "", "gossip addresses of the control VMs: IP:port,…", ParseAddresses)
 	settings.String(s, &n.Keys, "keys", "", "folder with the certificate and the frame keys of this VM")
 	settings.Int(s, &n.TunnelMTU, "tunnel-mtu", fmt.Sprint(node.DefaultTunnelMTU), "largest packet that is sent in a frame, in bytes")
-	settings.Int(s, &n.TraceEvery, "trace-every", "1000", "one of so many openings is traced; 0 traces none")
+	settings.Int(s, &n.TraceEvery, "trace-every", "1000", "on average one of so many openings is traced, chosen at random; 0 traces none")
 	settings.String(s, &n.TraceFile, "trace-file", "", "file to which finished spans are appended as JSON; none if empty")
 	settings.String(s, &n.Device, "device", "bram0", "name of the TUN device")
 	s.Check(n.check)
