fanout: nodes replay accepted changes

Cause: a node applied a delta with intent.Apply, which answers a remembered operation id without applying the change; control forgets ids after 4,096 operations and can accept one again. The node then stayed at its revision for good. Change: fanout uses intent.Replay, as internal/node does.

--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -155,3 +155,14 @@
 	}
 	require.Less(t, sent, int64(3*25_000), "six inventories were sent instead of one state")
 }
+
+// Guards against a node that takes an accepted change for a repetition, because
+// it still remembers an operation id that control has forgotten and accepted
+// again.
+func TestReusedOperationID(t *testing.T) {
+	state := initial()
+	state.Operations = []intent.Operation{{ID: "op-1", Result: intent.Result{Outcome: intent.Accepted, Revision: 1}}}
+	n := start(20, 0, state)
+	n.Publish(change(1))
+	check(t, n, 2)
+}
--- a/internal/fanout/history.go
+++ b/internal/fanout/history.go
@@ -10,8 +10,8 @@
 // history keeps the latest state and the changes that led to it.
 type history struct {
 	state *intent.State
-	// step is intent.Apply or its replacement.
-	step    func(*intent.State, intent.Change) (*intent.State, intent.Result)
+	// replay is intent.Replay or its replacement.
+	replay  func(*intent.State, intent.Change) (*intent.State, error)
 	changes []sizedChange
 	bytes   int
 	// snapshot caches the size of the state at a revision.
@@ -115,8 +115,8 @@
 		size = m.Bytes
 	}
 	for _, c := range u.Changes[own-u.FromRevision:] {
-		next, result := h.step(h.state, c)
-		if result.Outcome != intent.Accepted || next.Revision != h.state.Revision+1 {
+		next, err := h.replay(h.state, c)
+		if err != nil {
 			return false
 		}
 		h.append(next, c, size)
--- a/internal/fanout/message.go
+++ b/internal/fanout/message.go
@@ -102,7 +102,7 @@
 	// comparison in docs/decisions/fanout.md.
 	Direct bool
 	Rand   *rand.Rand
-	// Apply is intent.Apply if nil. Simulations replace it by one that shares
+	// Replay is intent.Replay if nil. Simulations replace it by one that shares
 	// results, because an import of 6,600 VMs takes long to apply.
-	Apply func(*intent.State, intent.Change) (*intent.State, intent.Result)
+	Replay func(*intent.State, intent.Change) (*intent.State, error)
 }
--- a/internal/fanout/node.go
+++ b/internal/fanout/node.go
@@ -35,10 +35,10 @@
 	if state == nil {
 		state = &intent.State{}
 	}
-	if config.Apply == nil {
-		config.Apply = intent.Apply
+	if config.Replay == nil {
+		config.Replay = intent.Replay
 	}
-	return &Node{config: config, history: history{state: state, step: config.Apply}, byID: map[vm.ID]*child{}}
+	return &Node{config: config, history: history{state: state, replay: config.Replay}, byID: map[vm.ID]*child{}}
 }
 
 // State returns the latest applied state.
--- a/internal/fanout/simnet/simnet.go
+++ b/internal/fanout/simnet/simnet.go
@@ -57,17 +57,17 @@
 	operation string
 }
 
-// apply is intent.Apply with shared results.
-func (n *Net) apply(s *intent.State, c intent.Change) (*intent.State, intent.Result) {
+// replay is intent.Replay with shared results.
+func (n *Net) replay(s *intent.State, c intent.Change) (*intent.State, error) {
 	key := result{from: s, operation: c.OperationID}
 	if next := n.results[key]; next != nil {
-		return next, intent.Result{Outcome: intent.Accepted, Revision: next.Revision}
+		return next, nil
 	}
-	next, r := intent.Apply(s, c)
-	if r.Outcome == intent.Accepted {
+	next, err := intent.Replay(s, c)
+	if err == nil {
 		n.results[key] = next
 	}
-	return next, r
+	return next, err
 }
 
 // Config describes a set of processes.
@@ -117,7 +117,7 @@
 	m := &Member{ID: vm.ID(fmt.Sprintf("vm-%05d", i)), Zone: c.Zones[i%len(c.Zones)], Role: role, AppliedAt: map[uint64]time.Time{}}
 	m.Node = fanout.New(fanout.Config{
 		Self: m.ID, Zone: m.Zone, Control: role == vm.RoleControl, Direct: c.Direct,
-		Rand: rand.New(rand.NewPCG(c.Seed, uint64(i))), Apply: n.apply,
+		Rand: rand.New(rand.NewPCG(c.Seed, uint64(i))), Replay: n.replay,
 	}, c.State)
 	n.Members = append(n.Members, m)
 	n.byID[m.ID] = m
@@ -145,7 +145,10 @@
 func (n *Net) Publish(c intent.Change) uint64 {
 	leader := n.Members[0]
 	c.BaseRevision = leader.Node.State().Revision
-	state, _ := n.apply(leader.Node.State(), c)
+	state, err := n.replay(leader.Node.State(), c)
+	if err != nil {
+		panic(fmt.Sprintf("simulated change is not valid: %v", err))
+	}
 	for _, m := range n.Members {
 		if m.Role == vm.RoleControl && !m.Stopped {
 			n.do(m, m.Node.Publish(n.Now, state, &c))
