--- /dev/null
+++ b/cmd/platform-agent/main.go
@@ -0,0 +1,25 @@
+// Command platform-agent runs the agent beside an upstream of the users'
+// platform.
+package main
+
+import (
+	"context"
+
+	"bramleyhold.example/bramleyhold/internal/fabric"
+	"bramleyhold.example/bramleyhold/platform"
+)
+
+func main() {
+	platform.Main("platform-agent", "passes the packets of one upstream on", start)
+}
+
+func start(ctx context.Context, p platform.Process) (platform.Service, error) {
+	agent, err := fabric.NewAgent(p.Config, platform.Codec{}, p.Log, platform.Load)
+	if err != nil {
+		return nil, err
+	}
+	checkIns := platform.CheckInHandler(agent, p.Config.Upstream, p.Config.Service)
+	platform.ServeInBackground(ctx, p, p.Config.Control, checkIns)
+	platform.ServeInBackground(ctx, p, p.Config.Readiness, platform.ReadinessHandler(agent.Ready))
+	return agent, nil
+}
--- /dev/null
+++ b/cmd/platform-balancer/main.go
@@ -0,0 +1,23 @@
+// Command platform-balancer runs a balancer on an entry VM of the users'
+// platform.
+package main
+
+import (
+	"context"
+
+	"bramleyhold.example/bramleyhold/internal/fabric"
+	"bramleyhold.example/bramleyhold/platform"
+)
+
+func main() {
+	platform.Main("platform-balancer", "sends the packets of callers to agents", start)
+}
+
+func start(ctx context.Context, p platform.Process) (platform.Service, error) {
+	balancer, err := fabric.NewBalancer(p.Config, platform.Codec{}, p.Log, platform.Load)
+	if err != nil {
+		return nil, err
+	}
+	platform.ServeInBackground(ctx, p, p.Config.Readiness, platform.ReadinessHandler(balancer.Ready))
+	return balancer, nil
+}
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
+
+	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
 // Role is the part that a replica plays in its term.
@@ -33,6 +36,10 @@
 	votes       map[Replica]bool
 	joinAt      time.Time
 	blanks      map[Replica]time.Time
+	// observers are the peers that have answered that they take no part.
+	observers map[vm.ID]bool
+	// contacts are further VMs that are asked for admission.
+	contacts []vm.ID
 
 	lead leading
 
@@ -47,7 +54,7 @@
 func New(options Options, restored Restored, now time.Time, random *rand.Rand) (*Core, error) {
 	c := &Core{
 		options: options, random: random, log: newEntryLog(restored), hard: restored.HardState,
-		written: restored.HardState, role: Follower, blanks: map[Replica]time.Time{},
+		written: restored.HardState, role: Follower, blanks: map[Replica]time.Time{}, observers: map[vm.ID]bool{},
 	}
 	if c.hard.Self == (Replica{}) {
 		c.hard.Self = options.Self
@@ -95,7 +102,7 @@
 		c.tickLeader(now)
 		return
 	}
-	if !c.isVoter() && !now.Before(c.joinAt) {
+	if c.seeksAdmission(now) && !now.Before(c.joinAt) {
 		c.join(now)
 	}
 	if c.isVoter() && !now.Before(c.electionAt) {
@@ -103,6 +110,30 @@
 	}
 }
 
+// Deadline returns when Tick has something to do next, unless a message or a
+// proposal comes first.
+func (c *Core) Deadline(now time.Time) time.Time {
+	if c.role == Leader {
+		next := c.lead.heartbeatAt
+		if c.lead.checkAt.Before(next) {
+			next = c.lead.checkAt
+		}
+		return next
+	}
+	next := now.Add(c.options.ElectionTimeout)
+	if c.isVoter() && c.electionAt.Before(next) {
+		next = c.electionAt
+	}
+	if c.seeksAdmission(next) && c.joinAt.Before(next) {
+		next = c.joinAt
+	}
+	return next
+}
+
+// SetContacts replaces the further VMs that are asked for admission besides
+// the peers of the first configuration.
+func (c *Core) SetContacts(ids []vm.ID) { c.contacts = slices.Clone(ids) }
+
 // isVoter reports whether this replica is a voter.
 func (c *Core) isVoter() bool { return c.Configuration().votes(c.hard.Self) }
 
--- a/internal/consensus/lead.go
+++ b/internal/consensus/lead.go
@@ -145,6 +145,7 @@
 		c.sendHeartbeat(r, p)
 		c.promote(now, r)
 	}
+	c.dropLearners(now)
 }
 
 // retryLost sends again from the base when nothing was confirmed for a whole
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -22,14 +22,30 @@
 // voter and hears from no leader.
 func (c *Core) join(now time.Time) {
 	c.joinAt = now.Add(c.joinInterval()/2 + time.Duration(c.random.Int64N(int64(c.joinInterval()))))
-	for _, id := range c.options.Peers {
-		if id != c.hard.Self.VM {
+	asked := map[vm.ID]bool{c.hard.Self.VM: true}
+	for _, id := range slices.Concat(c.options.Peers, c.contacts) {
+		if !asked[id] {
+			asked[id] = true
 			c.send(Replica{VM: id}, Message{Join: &JoinRequest{}})
 		}
 	}
 	c.found(now)
 }
 
+// leaderlessTimeouts is after how many election timeouts without a leader a
+// voter asks for admission: it may have been replaced while it was away, and
+// then no replica answers its requests for votes.
+const leaderlessTimeouts = 3
+
+// seeksAdmission reports whether this replica asks to be admitted.
+func (c *Core) seeksAdmission(now time.Time) bool {
+	if !c.isVoter() {
+		return true
+	}
+	return c.options.TargetVoters > 0 && c.role != Leader &&
+		now.Sub(c.leaderHeard) > leaderlessTimeouts*c.options.ElectionTimeout
+}
+
 func (c *Core) receiveJoin(now time.Time, m Message) {
 	if m.Join != nil && m.To.VM == c.hard.Self.VM {
 		c.answerJoin(now, m.From)
@@ -38,6 +54,11 @@
 	if m.JoinAnswered == nil || m.To != c.hard.Self || c.hard.Cluster != 0 {
 		return
 	}
+	if m.JoinAnswered.Observer {
+		c.observers[m.From.VM] = true
+		c.found(now)
+		return
+	}
 	if m.JoinAnswered.Blank {
 		for known := range c.blanks {
 			if known.VM == m.From.VM {
@@ -71,11 +92,12 @@
 	}
 }
 
-// found writes the first configuration. Only the first peer by name does so,
-// and only when every other peer has just answered that it is blank: a cluster
-// that has ever committed an entry has a majority that is not blank.
+// found writes the first configuration. Only the first peer by name that takes
+// part does so, and only when every other peer has just answered that it is
+// blank: a cluster that has ever committed an entry has a majority that is not
+// blank.
 func (c *Core) found(now time.Time) {
-	if c.hard.Cluster != 0 || slices.Min(c.options.Peers) != c.hard.Self.VM {
+	if c.hard.Cluster != 0 || c.options.NoFounding || c.founder() != c.hard.Self.VM {
 		return
 	}
 	voters := []Replica{c.hard.Self}
@@ -84,7 +106,7 @@
 			voters = append(voters, r)
 		}
 	}
-	if len(voters) != len(c.options.Peers) {
+	if len(voters)+len(c.observers) != len(c.options.Peers) {
 		return
 	}
 	slices.SortFunc(voters, func(a, b Replica) int { return cmp.Compare(a.VM, b.VM) })
@@ -95,12 +117,25 @@
 	c.startElection(now, true, false)
 }
 
+// founder returns the first peer by name that is not an observer.
+func (c *Core) founder() vm.ID {
+	first := vm.ID("")
+	for _, id := range c.options.Peers {
+		if !c.observers[id] && (first == "" || id < first) {
+			first = id
+		}
+	}
+	return first
+}
+
 // admit makes a new incarnation of a known VM a learner. The old incarnation
-// is removed, because its disk is lost.
+// is removed, because its disk is lost. With an open membership an unknown VM
+// becomes a learner as well.
 func (c *Core) admit(now time.Time, r Replica) {
 	configuration := c.Configuration()
 	known, ok := configuration.Find(r.VM)
-	if !ok || known.Incarnation >= r.Incarnation || r.VM == c.hard.Self.VM {
+	open := c.options.TargetVoters > 0 && len(configuration.Learners) < maxLearners
+	if r.VM == c.hard.Self.VM || (!ok && !open) || (ok && known.Incarnation >= r.Incarnation) {
 		return
 	}
 	next := configuration.without(r.VM)
@@ -108,7 +143,13 @@
 	c.changeConfiguration(now, next)
 }
 
-// promote makes a learner a voter when it is caught up.
+// maxLearners bounds the replicas that wait to become voters. The voters of a
+// deployment and as many successors fit.
+const maxLearners = 16
+
+// promote makes a learner a voter when it is caught up. If there are enough
+// voters, a silent one is removed first; the learner follows when that change
+// is committed.
 func (c *Core) promote(now time.Time, r Replica) {
 	configuration := c.Configuration()
 	p, ok := c.lead.progress[r]
@@ -118,12 +159,49 @@
 	if p.match < c.log.commit || p.match+promotionLag < c.log.last() {
 		return
 	}
+	if target := c.options.TargetVoters; target > 0 && len(configuration.Voters) >= target {
+		if lost, found := c.silentVoter(now, configuration); found {
+			c.changeConfiguration(now, configuration.without(lost.VM))
+		}
+		return
+	}
 	next := configuration.without(r.VM)
 	next.Voters = append(next.Voters, r)
 	slices.SortFunc(next.Voters, func(a, b Replica) int { return cmp.Compare[vm.ID](a.VM, b.VM) })
 	c.changeConfiguration(now, next)
 }
 
+// silentVoter returns the voter that has been silent for longest, if that is
+// longer than ReplaceAfter.
+func (c *Core) silentVoter(now time.Time, configuration Configuration) (Replica, bool) {
+	longest, lost := c.options.ReplaceAfter, Replica{}
+	for _, r := range configuration.Voters {
+		if p, ok := c.lead.progress[r]; ok && now.Sub(p.heard) > longest {
+			longest, lost = now.Sub(p.heard), r
+		}
+	}
+	return lost, lost != Replica{}
+}
+
+// learnerExpiry is how long a silent learner is kept. It exceeds the outages of
+// a restart by far, and a learner that returns later is admitted again.
+const learnerExpiry = time.Minute
+
+// dropLearners removes one learner that is gone. Learners do not count for a
+// majority, so that this changes no quorum.
+func (c *Core) dropLearners(now time.Time) {
+	if c.options.TargetVoters == 0 {
+		return
+	}
+	configuration := c.Configuration()
+	for _, r := range configuration.Learners {
+		if p, ok := c.lead.progress[r]; ok && now.Sub(p.heard) > learnerExpiry {
+			c.changeConfiguration(now, configuration.without(r.VM))
+			return
+		}
+	}
+}
+
 // changeConfiguration appends a configuration that differs from the current
 // one by one voter. The previous change must be committed, and so must an
 // entry of this term; otherwise two majorities without a common voter are
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -76,6 +76,8 @@
 type JoinResponse struct {
 	// Blank is set by a replica that belongs to no cluster.
 	Blank bool `cbor:"1,keyasint,omitempty"`
+	// Observer is set by a process without a disk, which takes no part.
+	Observer bool `cbor:"3,keyasint,omitempty"`
 	// Known is the incarnation of the asking VM in the configuration.
 	Known vm.Incarnation `cbor:"2,keyasint,omitempty"`
 }
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -106,6 +106,17 @@
 	Self Replica
 	// Peers are the VMs of the first configuration, including this one.
 	Peers []vm.ID
+	// NoFounding keeps a blank replica from writing the first configuration. It
+	// is set when the cluster was started before, so that this replica has
+	// lost its disk or is new.
+	NoFounding bool
+	// TargetVoters opens the membership if it is above zero: VMs outside of the
+	// first configuration may join, and the leader keeps this many voters as
+	// long as enough replicas are reachable.
+	TargetVoters int
+	// ReplaceAfter is how long a voter may be silent before a caught-up learner
+	// takes its place. It is used with TargetVoters only.
+	ReplaceAfter time.Duration
 	// ElectionTimeout is the shortest time without a leader before an election;
 	// the actual time is random between one and two times this value.
 	ElectionTimeout time.Duration
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -58,18 +58,58 @@
 // written by a newer version; it changes nothing here, and the replica must not
 // go on with a state that differs from the others.
 func (m *machine) apply(command []byte) (*machine, intent.Result, error) {
-	var change intent.Change
-	if err := json.Unmarshal(command, &change); err != nil {
+	change, err := decodeCommand(command)
+	if err != nil {
 		return nil, intent.Result{}, fmt.Errorf("decode committed change: %w", err)
 	}
 	state, result := intent.Apply(m.State, change)
 	next := stored{State: state, Recent: m.Recent}
-	if state.Revision > m.State.Revision {
+	switch {
+	case state.Revision == m.State.Revision:
+	case change.Kind == intent.KindDesired:
+		// Nodes take a desired state as a whole, never as a delta.
+		next.Recent = nil
+	default:
 		next.Recent = appendRecent(m.Recent, accepted{Change: change, Size: len(command)}, m.recentSize)
 	}
 	return newMachine(next), result, nil
 }
 
+// encodeCommand returns the content of a log entry. Large changes are
+// compressed, so that they fit one message between replicas.
+func encodeCommand(change intent.Change) ([]byte, error) {
+	plain, err := json.Marshal(change)
+	if err != nil || len(plain) <= packAbove {
+		return plain, err
+	}
+	var buffer bytes.Buffer
+	w := gzip.NewWriter(&buffer)
+	if _, err := w.Write(plain); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(), nil
+}
+
+// decodeCommand reads the content of a log entry, compressed or not.
+func decodeCommand(command []byte) (change intent.Change, err error) {
+	if bytes.HasPrefix(command, gzipMagic) {
+		r, err := gzip.NewReader(bytes.NewReader(command))
+		if err != nil {
+			return change, err
+		}
+		err = json.NewDecoder(io.LimitReader(r, maxSnapshotBytes)).Decode(&change)
+		return change, err
+	}
+	err = json.Unmarshal(command, &change)
+	return change, err
+}
+
+// gzipMagic starts every gzip stream; a JSON text never begins like this.
+var gzipMagic = []byte{0x1f, 0x8b}
+
 // appendRecent drops the oldest changes beyond the bound. The new change may
 // exceed it alone; then none is kept, and subscribers get a snapshot.
 func appendRecent(recent []accepted, a accepted, size int) []accepted {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -10,6 +10,7 @@
 	"bramleyhold.example/bramleyhold/internal/consensus"
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/logstore"
+	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
 const (
@@ -21,7 +22,6 @@
 	// compactBytes is the size of the log file at which it is replaced by a
 	// snapshot, whatever the number of entries is.
 	compactBytes = 16 << 20
-	ticksPerBeat = 4
 )
 
 // errLost reports a request whose leader changed before the outcome was known.
@@ -71,7 +71,6 @@
 	machine *machine
 	applied uint64
 	send    func([]consensus.Message)
-	beat    time.Duration
 	// compactEntries is the number of applied entries at which the log is
 	// replaced by a snapshot.
 	compactEntries uint64
@@ -81,6 +80,7 @@
 	proposals chan proposal
 	reads     chan chan<- outcome
 	transfers chan struct{}
+	contacts  chan []vm.ID
 	stopped   chan struct{}
 
 	waiters map[uint64]waiter
@@ -117,9 +117,9 @@
 	}
 	r := &replica{
 		core: core, store: store, machine: m, applied: restored.Snapshot.Index,
-		send: options.send, beat: options.consensus.Heartbeat, observe: options.observe,
+		send: options.send, observe: options.observe,
 		compactEntries: options.compactEntries, inbox: make(chan consensus.Message, inboxSize), proposals: make(chan proposal, maxBatch),
-		reads: make(chan chan<- outcome, maxBatch), transfers: make(chan struct{}, 1),
+		reads: make(chan chan<- outcome, maxBatch), transfers: make(chan struct{}, 1), contacts: make(chan []vm.ID, 1),
 		stopped: make(chan struct{}), waiters: map[uint64]waiter{}, readers: map[uint64]chan<- outcome{},
 	}
 	// What was committed before the restart is applied before the first
@@ -144,19 +144,21 @@
 
 // run processes events until the context ends or the replica must stop.
 func (r *replica) run(ctx context.Context) error {
-	ticker := time.NewTicker(r.beat / ticksPerBeat)
-	defer ticker.Stop()
-	err := r.loop(ctx, ticker.C)
+	err := r.loop(ctx)
 	close(r.stopped)
 	return errors.Join(err, r.store.Close())
 }
 
-func (r *replica) loop(ctx context.Context, ticks <-chan time.Time) error {
+func (r *replica) loop(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
+		now := time.Now()
+		timer.Reset(max(r.core.Deadline(now).Sub(now), 0))
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticks:
+		case <-timer.C:
 		case m := <-r.inbox:
 			r.core.Receive(time.Now(), m)
 		case p := <-r.proposals:
@@ -165,6 +167,8 @@
 			r.read(answer)
 		case <-r.transfers:
 			r.core.TransferLeadership(time.Now())
+		case contacts := <-r.contacts:
+			r.core.SetContacts(contacts)
 		}
 		r.takeMore()
 		r.core.Tick(time.Now())
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -120,7 +120,7 @@
 		_, result := intent.Apply(s.replica.view().machine.State, request.Change)
 		return result, nil
 	}
-	command, err := json.Marshal(request.Change)
+	command, err := encodeCommand(request.Change)
 	if err != nil {
 		return intent.Result{}, err
 	}
--- /dev/null
+++ b/internal/directory/client.go
@@ -0,0 +1,220 @@
+package directory
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"bramleyhold.example/bramleyhold/internal/view"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+const (
+	// askInterval is how often one of the control processes is asked, in turn.
+	// With three of them each is asked every 1.5 s, half of the time in which a
+	// change of the desired state has to be in force.
+	askInterval = 500 * time.Millisecond
+	// joinInterval is used until the first answer.
+	joinInterval = 150 * time.Millisecond
+	// maxControls bounds the control processes that are asked.
+	maxControls = 16
+	// controlLifetime is how long a control process that does not answer is
+	// asked, unless the settings name it.
+	controlLifetime = 30 * time.Second
+)
+
+// ClientConfig describes a process that announces itself.
+type ClientConfig struct {
+	Self Record
+	// Seeds are the control processes that the settings name.
+	Seeds []netip.Addr
+	// Subscribe asks for the records of others.
+	Subscribe bool
+	Random    *rand.Rand
+}
+
+// Client announces one process and follows the tables of the control
+// processes.
+type Client struct {
+	cfg      ClientConfig
+	table    *Table
+	controls []*control
+	next     int
+	askAt    time.Time
+	version  uint64
+	leader   netip.Addr
+	synced   bool
+}
+
+// control is what is known about one control process.
+type control struct {
+	address  netip.Addr
+	seed     bool
+	epoch    uint64
+	position uint64
+	heardAt  time.Time
+	version  uint64
+}
+
+// Request is an Ask for one control process.
+type Request struct {
+	To  netip.Addr
+	Ask Ask
+}
+
+// NewClient returns a client that asks the seeds first.
+func NewClient(cfg ClientConfig, now time.Time) *Client {
+	c := &Client{cfg: cfg, table: NewTable(), askAt: now}
+	c.SetSeeds(now, cfg.Seeds)
+	if len(c.controls) > 0 {
+		c.next = cfg.Random.IntN(len(c.controls))
+	}
+	return c
+}
+
+// Table returns what is known.
+func (c *Client) Table() *Table { return c.table }
+
+// Synced reports whether a control process has answered.
+func (c *Client) Synced() bool { return c.synced }
+
+// Leader returns the control process that leads, if it is known.
+func (c *Client) Leader() netip.Addr { return c.leader }
+
+// Self returns the own record.
+func (c *Client) Self() Record { return c.cfg.Self }
+
+// SetVersion tells which desired state the process has.
+func (c *Client) SetVersion(version uint64) { c.version = version }
+
+// SetSeeds replaces the control processes that the settings name. Others that
+// were learned stay for as long as they answer.
+func (c *Client) SetSeeds(now time.Time, seeds []netip.Addr) {
+	for _, k := range c.controls {
+		k.seed = slices.Contains(seeds, k.address)
+	}
+	for _, address := range seeds {
+		c.learn(now, address).seed = true
+	}
+}
+
+func (c *Client) learn(now time.Time, address netip.Addr) *control {
+	for _, k := range c.controls {
+		if k.address == address {
+			return k
+		}
+	}
+	k := &control{address: address, heardAt: now}
+	c.controls = append(c.controls, k)
+	return k
+}
+
+// Announce replaces the content of the own record and returns what tells all
+// control processes.
+func (c *Client) Announce(now time.Time, update func(*Record)) []Request {
+	update(&c.cfg.Self)
+	c.cfg.Self.Revision++
+	requests := make([]Request, 0, len(c.controls))
+	for _, k := range c.controls {
+		requests = append(requests, c.request(k))
+	}
+	c.askAt = now.Add(c.interval())
+	return requests
+}
+
+// Status returns the status that the process announces.
+func (c *Client) Status() view.Status { return c.cfg.Self.Status }
+
+func (c *Client) request(k *control) Request {
+	return Request{To: k.address, Ask: Ask{
+		Self: c.cfg.Self, Epoch: k.epoch, Position: k.position, Version: c.version, Subscribe: c.cfg.Subscribe,
+	}}
+}
+
+func (c *Client) interval() time.Duration {
+	if !c.synced {
+		return joinInterval
+	}
+	return askInterval
+}
+
+// Tick asks the next control process if it is time.
+func (c *Client) Tick(now time.Time) []Request {
+	if now.Before(c.askAt) || len(c.controls) == 0 {
+		return nil
+	}
+	c.askAt = now.Add(c.interval())
+	c.controls = slices.DeleteFunc(c.controls, func(k *control) bool {
+		return !k.seed && now.Sub(k.heardAt) > controlLifetime
+	})
+	c.next = (c.next + 1) % len(c.controls)
+	return []Request{c.request(c.controls[c.next])}
+}
+
+// Deadline returns when Tick has something to do next.
+func (c *Client) Deadline() time.Time { return c.askAt }
+
+// News is what an answer told.
+type News struct {
+	// Changed: the table has changed.
+	Changed bool
+	// Version is above that of the process: the sender has a newer one.
+	Version uint64
+	// Requests tell the control processes about a raised process number.
+	Requests []Request
+	// Joined: this was the first answer.
+	Joined bool
+}
+
+// Answer takes an answer of a control process.
+func (c *Client) Answer(now time.Time, from netip.Addr, a *Answer) News {
+	news := News{Joined: !c.synced}
+	k := c.learn(now, from)
+	k.heardAt = now
+	c.synced = true
+	for _, address := range a.Controls {
+		if len(c.controls) < maxControls {
+			c.learn(now, address)
+		}
+	}
+	if a.Leader.IsValid() {
+		c.leader = a.Leader
+	}
+	if a.Version > c.version {
+		news.Version = a.Version
+	}
+	news.Changed = c.take(now, k, a)
+	if a.Process > c.cfg.Self.Process {
+		// The clock of this VM is behind that of an earlier process.
+		news.Requests = c.Announce(now, func(r *Record) { r.Process = a.Process + 1 })
+	}
+	return news
+}
+
+// take merges the records of an answer. An answer that does not continue the
+// position reached so far still brings news, but leaves the position.
+func (c *Client) take(now time.Time, k *control, a *Answer) (changed bool) {
+	for i := range a.Records {
+		if a.Records[i].key() == c.cfg.Self.key() {
+			continue
+		}
+		if c.table.Put(now, &a.Records[i]) {
+			changed = true
+		}
+	}
+	if a.Epoch != k.epoch {
+		k.epoch, k.position = a.Epoch, 0
+	}
+	if a.From <= k.position && a.To > k.position {
+		k.position = a.To
+	}
+	return changed
+}
+
+// Upstreams returns the records of agents.
+func (c *Client) Upstreams() []*Entry {
+	var list []*Entry
+	c.table.Entries(vm.RoleUpstream, func(e *Entry) { list = append(list, e) })
+	return list
+}
--- /dev/null
+++ b/internal/directory/server.go
@@ -0,0 +1,174 @@
+package directory
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+const (
+	// maxAnswerRecords keeps an answer within one datagram of about 1,200
+	// bytes; a record takes about 90.
+	maxAnswerRecords = 10
+	// subscriberLifetime is how long a process that has not asked gets changes.
+	subscriberLifetime = 5 * time.Second
+	// expireInterval is how often silent processes are looked for.
+	expireInterval = time.Second
+)
+
+// ServerConfig describes a control process.
+type ServerConfig struct {
+	// Epoch tells lives of the server apart.
+	Epoch uint64
+	// Self is the own record.
+	Self Record
+}
+
+// Server answers for one control process.
+type Server struct {
+	cfg         ServerConfig
+	table       *Table
+	subscribers map[netip.Addr]*subscriber
+	expireAt    time.Time
+	// Version and Leader are told in each answer.
+	Version uint64
+	Leader  netip.Addr
+}
+
+type subscriber struct {
+	role     vm.Role
+	position uint64
+	heardAt  time.Time
+}
+
+// Send is an answer for one process.
+type Send struct {
+	Role   vm.Role
+	To     netip.Addr
+	Answer *Answer
+}
+
+// NewServer returns a server that knows itself only.
+func NewServer(cfg ServerConfig, now time.Time) *Server {
+	s := &Server{cfg: cfg, table: NewTable(), subscribers: map[netip.Addr]*subscriber{}, expireAt: now.Add(expireInterval)}
+	s.table.Put(now, &cfg.Self)
+	return s
+}
+
+// Table returns what is known.
+func (s *Server) Table() *Table { return s.table }
+
+// Ask takes the record of a process and returns the answers to it and, if the
+// record was new, those for all subscribers.
+func (s *Server) Ask(now time.Time, a *Ask) []Send {
+	changed := s.table.Put(now, &a.Self)
+	from := a.Position
+	if a.Epoch != s.cfg.Epoch {
+		from = 0
+	}
+	var sends []Send
+	if a.Subscribe && a.Self.Role == vm.RoleBalancer {
+		sub := s.subscribers[a.Self.Address]
+		if sub == nil {
+			sub = &subscriber{role: a.Self.Role}
+			s.subscribers[a.Self.Address] = sub
+		}
+		sub.position, sub.heardAt = from, now
+	}
+	if a.Subscribe {
+		sends = s.answers(a.Self.Role, a.Self.Address, from)
+	} else {
+		sends = append(sends, Send{Role: a.Self.Role, To: a.Self.Address, Answer: s.plain(s.table.position, s.table.position)})
+	}
+	for i := range sends {
+		sends[i].Answer.Process = s.table.Known(&a.Self)
+	}
+	if sub := s.subscribers[a.Self.Address]; sub != nil && a.Subscribe {
+		sub.position = s.table.position
+	}
+	if changed {
+		sends = append(sends, s.Changes(now)...)
+	}
+	return sends
+}
+
+// Changes returns what subscribers do not have yet.
+func (s *Server) Changes(now time.Time) []Send {
+	var sends []Send
+	for address, sub := range s.subscribers {
+		if now.Sub(sub.heardAt) > subscriberLifetime {
+			delete(s.subscribers, address)
+			continue
+		}
+		if sub.position < s.table.position {
+			sends = append(sends, s.answers(sub.role, address, sub.position)...)
+			sub.position = s.table.position
+		}
+	}
+	return sends
+}
+
+// Notices returns an answer without records for every subscriber, so that it
+// learns of a new version at once.
+func (s *Server) Notices(now time.Time) []Send {
+	var sends []Send
+	for address, sub := range s.subscribers {
+		if now.Sub(sub.heardAt) <= subscriberLifetime {
+			sends = append(sends, Send{Role: sub.role, To: address, Answer: s.plain(sub.position, sub.position)})
+		}
+	}
+	return sends
+}
+
+// Tick looks for silent processes.
+func (s *Server) Tick(now time.Time) []Send {
+	if now.Before(s.expireAt) {
+		return nil
+	}
+	s.expireAt = now.Add(expireInterval)
+	s.cfg.Self.Revision++
+	s.table.Put(now, &s.cfg.Self)
+	s.table.Expire(now)
+	return s.Changes(now)
+}
+
+// Deadline returns when Tick has something to do next.
+func (s *Server) Deadline() time.Time { return s.expireAt }
+
+// answers splits the changes after a position into messages.
+func (s *Server) answers(role vm.Role, to netip.Addr, from uint64) []Send {
+	var changed []*Entry
+	for _, e := range s.table.entries {
+		if e.position > from && e.Role != vm.RoleControl {
+			changed = append(changed, e)
+		}
+	}
+	slices.SortFunc(changed, func(a, b *Entry) int { return cmp.Compare(a.position, b.position) })
+	var sends []Send
+	for len(changed) > maxAnswerRecords {
+		part := changed[:maxAnswerRecords]
+		changed = changed[maxAnswerRecords:]
+		end := part[len(part)-1].position
+		sends = append(sends, Send{Role: role, To: to, Answer: s.fill(part, from, end)})
+		from = end
+	}
+	return append(sends, Send{Role: role, To: to, Answer: s.fill(changed, from, s.table.position)})
+}
+
+func (s *Server) fill(entries []*Entry, from, to uint64) *Answer {
+	a := s.plain(from, to)
+	for _, e := range entries {
+		a.Records = append(a.Records, e.Record)
+	}
+	return a
+}
+
+func (s *Server) plain(from, to uint64) *Answer {
+	a := &Answer{Epoch: s.cfg.Epoch, From: from, To: to, Leader: s.Leader, Version: s.Version}
+	s.table.Entries(vm.RoleControl, func(e *Entry) { a.Controls = append(a.Controls, e.Address) })
+	slices.SortFunc(a.Controls, netip.Addr.Compare)
+	return a
+}
--- /dev/null
+++ b/internal/fabric/agent.go
@@ -0,0 +1,232 @@
+package fabric
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"bramleyhold.example/bramleyhold/internal/directory"
+	"bramleyhold.example/bramleyhold/internal/steering"
+	"bramleyhold.example/bramleyhold/internal/view"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+const (
+	// agentIdleTimeout is after which time without packets an agent forgets a
+	// flow; the usual idle timeout of a desired state, with a reserve.
+	agentIdleTimeout = 20 * time.Second
+	// maxAgentFlows bounds the remembered flows; upstreams hold some thousands.
+	maxAgentFlows = 20_000
+)
+
+// Agent runs beside an upstream.
+type Agent struct {
+	*node
+	codec    Codec
+	core     *steering.Agent
+	packets  *net.UDPConn
+	outbound *net.UDPConn
+	actions  []steering.Action
+	stopping bool
+}
+
+// NewAgent opens the sockets. Run must be called to serve.
+func NewAgent(cfg Config, codec Codec, log *logrus.Entry, reload func() (Config, error)) (*Agent, error) {
+	n, err := newNode(cfg, vm.RoleUpstream, cfg.NodePort, false, log, reload)
+	if err != nil {
+		return nil, err
+	}
+	packets, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Packets))
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("open packet socket: %w", err), n.close())
+	}
+	outbound, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Outbound))
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("open outbound socket: %w", err), packets.Close(), n.close())
+	}
+	a := &Agent{
+		node: n, codec: codec, packets: packets, outbound: outbound,
+		core: steering.NewAgent(steering.AgentConfig{
+			Service: cfg.Service, IdleTimeout: agentIdleTimeout, MaxFlows: maxAgentFlows, Started: time.Now(),
+		}),
+	}
+	n.due = func(now time.Time) { a.decide(func() { a.core.Tick(now, &a.actions) }) }
+	n.deadline = a.core.Deadline
+	handle(n.link, kindSteering, n.rejected, a.message)
+	handle(n.link, kindAnswer, n.rejected, a.answer)
+	return a, nil
+}
+
+// Run serves until the context ends. The flows stay with the upstream, and the
+// next process takes them up from their packets.
+func (a *Agent) Run(ctx context.Context) error {
+	group := errgroup.Group{}
+	group.Go(a.link.receive)
+	group.Go(a.receivePackets)
+	group.Go(a.receiveOutbound)
+	a.tell(func(*directory.Record) {})
+	<-ctx.Done()
+	a.tell(func(r *directory.Record) {
+		a.stopping = true
+		if r.Status == view.Ready {
+			r.Status = view.Starting
+		}
+	})
+	err := errors.Join(a.packets.Close(), a.outbound.Close(), a.close())
+	return errors.Join(err, group.Wait())
+}
+
+// tell announces a change of the own record to all control processes.
+func (a *Agent) tell(update func(*directory.Record)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	a.ask(a.client.Announce(now, update))
+	a.plan(now)
+}
+
+// Announce takes a check-in of the upstream.
+func (a *Agent) Announce(n steering.Announcement) {
+	a.mu.Lock()
+	changed := a.core.Announce(n)
+	current, _ := a.core.Upstream()
+	stopping := a.stopping
+	a.mu.Unlock()
+	if !changed || stopping {
+		return
+	}
+	a.log.WithFields(logrus.Fields{
+		"upstream": current.VM, "incarnation": current.Incarnation, "sequence": current.Sequence,
+		"status": current.Status, "slots": current.Slots,
+	}).Info("upstream changed")
+	a.tell(func(r *directory.Record) {
+		r.Upstream, r.Incarnation, r.Slots = current.VM, current.Incarnation, current.Slots
+		r.Status, r.ColdMillis = current.Status, int(current.Cold.Milliseconds())
+	})
+}
+
+// Gone notes that the upstream has ended.
+func (a *Agent) Gone(id string) {
+	a.mu.Lock()
+	current, known := a.core.Upstream()
+	a.mu.Unlock()
+	if !known || current.VM != vm.ID(id) {
+		return
+	}
+	current.Sequence++
+	current.Status = view.Left
+	a.Announce(current)
+}
+
+// Ready reports whether the upstream takes work.
+func (a *Agent) Ready() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	current, known := a.core.Upstream()
+	return known && current.Status == view.Ready && !a.stopping
+}
+
+func (a *Agent) receivePackets() error {
+	buffer := make([]byte, receiveBytes)
+	var p steering.Packet
+	for {
+		n, from, err := a.packets.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			continue
+		}
+		data := buffer[:n]
+		if a.codec.Decode(data, false, &p) != nil {
+			continue
+		}
+		mark, ok := a.codec.TakeMark(data)
+		if !ok {
+			continue
+		}
+		a.mu.Lock()
+		now := time.Now()
+		a.decide(func() { a.core.FromBalancer(now, &p, mark, from.Addr().Unmap(), data, &a.actions) })
+		a.plan(now)
+		a.mu.Unlock()
+	}
+}
+
+func (a *Agent) receiveOutbound() error {
+	buffer := make([]byte, receiveBytes)
+	var p steering.Packet
+	for {
+		n, _, err := a.outbound.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			continue
+		}
+		data := buffer[:n]
+		if a.codec.Decode(data, true, &p) != nil {
+			continue
+		}
+		a.mu.Lock()
+		now := time.Now()
+		a.decide(func() { a.core.FromUpstream(now, &p, data, &a.actions) })
+		a.plan(now)
+		a.mu.Unlock()
+	}
+}
+
+// decide runs a decision and carries out its actions. The lock is held.
+func (a *Agent) decide(decision func()) {
+	a.actions = a.actions[:0]
+	decision()
+	for i := range a.actions {
+		a.execute(&a.actions[i])
+	}
+}
+
+func (a *Agent) execute(action *steering.Action) {
+	switch action.Kind {
+	case steering.Deliver:
+		_, err := a.outbound.WriteToUDPAddrPort(action.Data, a.cfg.Upstream)
+		a.lost(err)
+	case steering.Reply:
+		a.toCaller(action, action.Data)
+	case steering.Reset:
+		var buffer [64]byte
+		a.toCaller(action, a.codec.AppendReset(buffer[:0], action.Flow, action.Sequence))
+	case steering.Tell:
+		a.lost(a.link.send(action.To, a.cfg.NodePort, kindSteering, &action.Message))
+	case steering.Drop, steering.Forward:
+	}
+}
+
+func (a *Agent) toCaller(action *steering.Action, data []byte) {
+	to := netip.AddrPortFrom(action.Flow.Caller.Addr(), a.cfg.Packets.Port())
+	_, err := a.packets.WriteToUDPAddrPort(data, to)
+	a.lost(err)
+}
+
+func (a *Agent) message(from netip.Addr, m *steering.Message) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	a.decide(func() { a.core.Message(now, from, m, &a.actions) })
+	a.plan(now)
+}
+
+func (a *Agent) answer(from netip.Addr, answer *directory.Answer) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	// An agent needs no desired state: balancers choose the service.
+	answer.Version = 0
+	a.answered(now, from, answer)
+	a.plan(now)
+}
--- /dev/null
+++ b/internal/fabric/balancer.go
@@ -0,0 +1,219 @@
+package fabric
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"bramleyhold.example/bramleyhold/internal/directory"
+	"bramleyhold.example/bramleyhold/internal/ranking"
+	"bramleyhold.example/bramleyhold/internal/steering"
+	"bramleyhold.example/bramleyhold/internal/view"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+const (
+	// maxBalancerFlows bounds the remembered flows, at some 300 bytes each.
+	maxBalancerFlows = 100_000
+	// leaveQuiet and leaveMax bound how long a stopping balancer goes on
+	// forwarding: until the fabric has sent nothing for a while, but not until
+	// the end by force. The fabric needs two probes, half a second apart.
+	leaveQuiet  = 300 * time.Millisecond
+	leaveAtMost = 0.7
+	leaveCheck  = 50 * time.Millisecond
+	// firstUpstreams is how long a balancer waits for a first upstream before
+	// it takes traffic, which it then can only refuse.
+	firstUpstreams = 2 * time.Second
+)
+
+// Balancer runs on an entry VM.
+type Balancer struct {
+	*node
+	codec   Codec
+	core    *steering.Balancer
+	packets *net.UDPConn
+	actions []steering.Action
+	joined  time.Time
+	last    time.Time
+	leaving bool
+}
+
+// NewBalancer opens the sockets. Run must be called to serve.
+func NewBalancer(cfg Config, codec Codec, log *logrus.Entry, reload func() (Config, error)) (*Balancer, error) {
+	n, err := newNode(cfg, vm.RoleBalancer, cfg.NodePort, true, log, reload)
+	if err != nil {
+		return nil, err
+	}
+	packets, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Packets))
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("open packet socket: %w", err), n.close())
+	}
+	b := &Balancer{
+		node: n, codec: codec, packets: packets,
+		core: steering.NewBalancer(steering.BalancerConfig{Zone: cfg.Zone, MaxFlows: maxBalancerFlows, Random: newRandom()}),
+	}
+	n.due = func(now time.Time) { b.decide(func() { b.core.Tick(now, &b.actions) }) }
+	n.deadline = b.core.Deadline
+	handle(n.link, kindSteering, n.rejected, b.message)
+	handle(n.link, kindAnswer, n.rejected, b.answer)
+	n.link.handlers[kindDesired] = b.desired
+	return b, nil
+}
+
+// Run serves until the context ends, then stops gracefully: the fabric is told
+// to send no more, and packets are forwarded until it has stopped.
+func (b *Balancer) Run(ctx context.Context) error {
+	group := errgroup.Group{}
+	group.Go(b.link.receive)
+	group.Go(b.receivePackets)
+	b.announce(view.Ready)
+	<-ctx.Done()
+	b.stop()
+	err := errors.Join(b.packets.Close(), b.close())
+	return errors.Join(err, group.Wait())
+}
+
+func (b *Balancer) announce(status view.Status) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.ask(b.client.Announce(now, func(r *directory.Record) { r.Status = status }))
+	b.plan(now)
+}
+
+// stop waits until the fabric sends nothing more.
+func (b *Balancer) stop() {
+	b.mu.Lock()
+	b.leaving = true
+	b.mu.Unlock()
+	b.announce(view.Left)
+	started := time.Now()
+	limit := time.Duration(leaveAtMost * float64(b.cfg.Grace))
+	for time.Since(started) < limit {
+		time.Sleep(leaveCheck)
+		b.mu.Lock()
+		quiet := time.Since(b.last) > leaveQuiet && time.Since(started) > leaveQuiet
+		b.mu.Unlock()
+		if quiet {
+			return
+		}
+	}
+}
+
+// Ready reports whether the fabric may send packets here.
+func (b *Balancer) Ready() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.leaving || !b.client.Synced() || b.core.Version() == 0 {
+		return false
+	}
+	return b.core.ReadyUpstreams() > 0 || time.Since(b.joined) > firstUpstreams
+}
+
+func (b *Balancer) receivePackets() error {
+	buffer := make([]byte, receiveBytes)
+	var p steering.Packet
+	for {
+		n, _, err := b.packets.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			continue
+		}
+		data := buffer[:n]
+		if b.codec.Decode(data, false, &p) != nil {
+			continue
+		}
+		b.mu.Lock()
+		now := time.Now()
+		b.last = now
+		b.decide(func() { b.core.Packet(now, &p, data, &b.actions) })
+		b.plan(now)
+		b.mu.Unlock()
+	}
+}
+
+// decide runs a decision and carries out its actions. The lock is held.
+func (b *Balancer) decide(decision func()) {
+	b.actions = b.actions[:0]
+	decision()
+	for i := range b.actions {
+		b.execute(&b.actions[i])
+	}
+}
+
+func (b *Balancer) execute(a *steering.Action) {
+	switch a.Kind {
+	case steering.Forward:
+		b.codec.SetMark(a.Data, a.Mark)
+		_, err := b.packets.WriteToUDPAddrPort(a.Data, netip.AddrPortFrom(a.To, b.cfg.Packets.Port()))
+		b.lost(err)
+	case steering.Reset:
+		var buffer [64]byte
+		reset := b.codec.AppendReset(buffer[:0], a.Flow, a.Sequence)
+		_, err := b.packets.WriteToUDPAddrPort(reset, netip.AddrPortFrom(a.Flow.Caller.Addr(), b.cfg.Packets.Port()))
+		b.lost(err)
+	case steering.Tell:
+		b.lost(b.link.send(a.To, b.cfg.NodePort, kindSteering, &a.Message))
+	case steering.Drop, steering.Deliver, steering.Reply:
+	}
+}
+
+func (b *Balancer) message(from netip.Addr, m *steering.Message) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.decide(func() { b.core.Message(now, from, m, &b.actions) })
+	b.plan(now)
+}
+
+func (b *Balancer) answer(from netip.Addr, a *directory.Answer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	news := b.answered(now, from, a)
+	if news.Joined {
+		b.joined = now
+	}
+	if news.Changed {
+		b.core.SetUpstreams(upstreams(b.client.Upstreams()))
+	}
+	b.plan(now)
+}
+
+// upstreams turns records of agents into members of services.
+func upstreams(entries []*directory.Entry) []steering.Upstream {
+	list := make([]steering.Upstream, 0, len(entries))
+	for _, e := range entries {
+		if e.Service == "" {
+			continue
+		}
+		list = append(list, steering.Upstream{Service: e.Service, Upstream: view.Upstream{
+			VM: e.VM, Hash: ranking.MemberHash(e.VM), Zone: e.Zone, Address: netip.AddrPortFrom(e.Address, e.PacketPort),
+			Incarnation: e.Incarnation, Status: e.Status, Slots: e.Slots,
+			ColdUntil: e.Since.Add(time.Duration(e.ColdMillis) * time.Millisecond),
+		}})
+	}
+	return list
+}
+
+func (b *Balancer) desired(from netip.Addr, payload []byte) {
+	d, err := unpackDesired(payload)
+	if err != nil {
+		b.rejected(err)
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.core.SetDesired(d) {
+		b.tookVersion(d.Version)
+		b.log.WithFields(logrus.Fields{"version": d.Version, "routes": len(d.Routes), "control": from}).Info("desired state in force")
+	}
+}
--- /dev/null
+++ b/internal/fabric/config.go
@@ -0,0 +1,72 @@
+package fabric
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"bramleyhold.example/bramleyhold/internal/flow"
+	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/steering"
+	"bramleyhold.example/bramleyhold/internal/vm"
+	"bramleyhold.example/bramleyhold/internal/zone"
+)
+
+// Config is what a process knows from its settings. Addresses that a role does
+// not use are not set.
+type Config struct {
+	VM      vm.ID
+	Zone    zone.ID
+	Address netip.Addr
+	// Packets receives packets over UDP: of callers at a balancer, of balancers
+	// at an agent. Callers get their packets at the same port.
+	Packets netip.AddrPort
+	// Outbound receives the packets of the upstream beside an agent.
+	Outbound netip.AddrPort
+	// Upstream is the address of the upstream beside an agent.
+	Upstream  netip.AddrPort
+	Readiness netip.AddrPort
+	// Control is for the calls of operators, or of the upstream beside an agent.
+	Control netip.AddrPort
+	// NodePort and ControlPort are the UDP ports between processes: those of
+	// balancers and agents, and those of control. They are the same on all VMs.
+	NodePort, ControlPort uint16
+	Seeds                 []netip.Addr
+	Service               service.Name
+	// FirstStart is set when the whole deployment starts with empty disks.
+	FirstStart bool
+	// Counted is set on VMs whose loss counts against Losses, the number of VMs
+	// that may be lost at once.
+	Counted bool
+	Losses  int
+	// DataFolder is empty on a VM without a disk.
+	DataFolder      string
+	MemoryBytes     int64
+	CheckInInterval time.Duration
+	// Grace is the time between the request to stop and the end by force.
+	Grace time.Duration
+	// Contact is after which time without disturbance a VM counts as in
+	// contact with the others.
+	Contact time.Duration
+}
+
+// Codec reads and marks packets. Decode reports an error for what is no packet.
+type Codec interface {
+	Decode(data []byte, fromUpstream bool, p *steering.Packet) error
+	SetMark(data []byte, m steering.Mark)
+	// TakeMark returns the mark of a packet and clears it.
+	TakeMark(data []byte) (steering.Mark, bool)
+	AppendReset(dst []byte, key flow.Key, sequence uint32) []byte
+}
+
+// RedirectError says which control process leads.
+type RedirectError struct{ Leader netip.Addr }
+
+func (e *RedirectError) Error() string {
+	return fmt.Sprintf("this control process does not lead; %s does", e.Leader)
+}
+
+// UnavailableError says why control cannot answer now.
+type UnavailableError struct{ Reason string }
+
+func (e *UnavailableError) Error() string { return "control is unavailable: " + e.Reason }
--- /dev/null
+++ b/internal/fabric/control.go
@@ -0,0 +1,337 @@
+package fabric
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"bramleyhold.example/bramleyhold/internal/consensus"
+	"bramleyhold.example/bramleyhold/internal/control"
+	"bramleyhold.example/bramleyhold/internal/directory"
+	"bramleyhold.example/bramleyhold/internal/intent"
+	"bramleyhold.example/bramleyhold/internal/logstore"
+	"bramleyhold.example/bramleyhold/internal/view"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+const (
+	// electionTimeout is some times the largest delay between zones and a sync
+	// on a slow disk.
+	electionTimeout = 600 * time.Millisecond
+	heartbeat       = 150 * time.Millisecond
+	// requestTimeout bounds how long a call waits for a leader or a majority.
+	// Callers turn to another process after a second.
+	requestTimeout = 850 * time.Millisecond
+	// leaderPoll is how often a waiting call looks for a leader.
+	leaderPoll = 25 * time.Millisecond
+	// reopenPause is the pause after the disk has refused a write.
+	reopenPause = 300 * time.Millisecond
+	// handOverTimeout bounds the wait for another leader at a stop.
+	handOverTimeout = 2 * time.Second
+	// minVoters is the least number of voters that survives a loss.
+	minVoters = 3
+)
+
+// Control runs a control process: the directory and, on a VM with a disk, a
+// replica of the desired state.
+type Control struct {
+	*node
+	server   *directory.Server
+	quorum   atomic.Pointer[control.Quorum]
+	standing atomic.Pointer[control.Standing]
+	packed   []byte
+	packedAs uint64
+	contacts []netip.Addr
+}
+
+// NewControl opens the link. Run must be called to serve.
+func NewControl(cfg Config, log *logrus.Entry, reload func() (Config, error)) (*Control, error) {
+	n, err := newNode(cfg, vm.RoleControl, cfg.ControlPort, false, log, reload)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	self := n.client.Self()
+	self.Status = view.Ready
+	c := &Control{node: n, server: directory.NewServer(directory.ServerConfig{Epoch: newRandom().Uint64(), Self: self}, now)}
+	n.due = func(now time.Time) {
+		c.sendAnswers(c.server.Tick(now))
+		c.updateContacts()
+	}
+	n.deadline = c.server.Deadline
+	handle(n.link, kindAsk, n.rejected, c.asked)
+	handle(n.link, kindAnswer, n.rejected, c.answer)
+	handle(n.link, kindFetch, n.rejected, c.fetched)
+	handle(n.link, kindConsensus, n.rejected, c.consensus)
+	return c, nil
+}
+
+// votes reports whether this process has a replica.
+func (c *Control) votes() bool { return c.cfg.DataFolder != "" && c.cfg.Counted }
+
+// Run serves until the context ends, then hands the lead over.
+func (c *Control) Run(ctx context.Context) error {
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group := errgroup.Group{}
+	group.Go(c.link.receive)
+	if c.votes() {
+		group.Go(func() error { c.runReplica(running); return nil })
+	}
+	c.mu.Lock()
+	c.ask(c.client.Announce(time.Now(), func(r *directory.Record) { r.Status = view.Ready }))
+	c.plan(time.Now())
+	c.mu.Unlock()
+	<-ctx.Done()
+	if q := c.quorum.Load(); q != nil {
+		handOver, done := context.WithTimeout(running, handOverTimeout)
+		q.HandOver(handOver)
+		done()
+	}
+	cancel()
+	err := c.close()
+	return errors.Join(err, group.Wait())
+}
+
+// runReplica runs the replica, and opens it again after its disk has refused a
+// write: what was acknowledged is on the disk.
+func (c *Control) runReplica(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := c.replicaOnce(ctx)
+		c.quorum.Store(nil)
+		c.standing.Store(nil)
+		if ctx.Err() != nil {
+			return
+		}
+		c.log.WithError(err).Error("replica stopped; it is opened again")
+		select {
+		case <-ctx.Done():
+		case <-time.After(reopenPause):
+		}
+	}
+}
+
+func (c *Control) replicaOnce(ctx context.Context) error {
+	files, err := logstore.OpenFolder(c.cfg.DataFolder)
+	if err != nil {
+		return err
+	}
+	q, err := control.OpenQuorum(control.QuorumOptions{
+		Consensus: c.consensusOptions(), Files: files, Send: c.sendConsensus, Changed: c.changed, Random: newRandom(),
+	})
+	if err != nil {
+		return errors.Join(err, files.Close())
+	}
+	c.changed(q.Standing())
+	c.quorum.Store(q)
+	return q.Run(ctx)
+}
+
+func replicaID(a netip.Addr) vm.ID { return vm.ID(a.String()) }
+
+func (c *Control) consensusOptions() consensus.Options {
+	self := consensus.Replica{VM: replicaID(c.cfg.Address), Incarnation: vm.Incarnation(time.Now().UnixNano())}
+	var peers []vm.ID
+	for _, seed := range c.cfg.Seeds {
+		if id := replicaID(seed); !slices.Contains(peers, id) {
+			peers = append(peers, id)
+		}
+	}
+	o := consensus.DefaultOptions(self, peers)
+	o.NoFounding = !c.cfg.FirstStart
+	o.TargetVoters = max(2*c.cfg.Losses+1, minVoters)
+	o.ReplaceAfter = c.cfg.Contact
+	o.ElectionTimeout, o.Heartbeat = electionTimeout, heartbeat
+	return o
+}
+
+// changed takes over a new state or leader. It runs in the goroutine of the
+// replica.
+func (c *Control) changed(s control.Standing) {
+	before := c.standing.Swap(&s)
+	if before == nil || before.Role != s.Role || before.Leader != s.Leader {
+		c.log.WithFields(logrus.Fields{"role": s.Role, "leader": s.Leader, "term": s.Term, "voters": len(s.Voters)}).Info("role changed")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.server.Leader = leaderAddress(&s)
+	version := uint64(0)
+	if s.State.Desired != nil {
+		version = s.State.Desired.Version
+	}
+	if version > c.server.Version {
+		c.server.Version = version
+		c.log.WithField("version", version).Info("desired state accepted")
+		c.sendAnswers(c.server.Notices(time.Now()))
+	}
+}
+
+func leaderAddress(s *control.Standing) netip.Addr {
+	if s.Leader == "" {
+		return netip.Addr{}
+	}
+	a, err := netip.ParseAddr(string(s.Leader))
+	if err != nil {
+		return netip.Addr{}
+	}
+	return a
+}
+
+func (c *Control) sendAnswers(sends []directory.Send) {
+	for _, s := range sends {
+		port := c.cfg.NodePort
+		if s.Role == vm.RoleControl {
+			port = c.cfg.ControlPort
+		}
+		c.lost(c.link.send(s.To, port, kindAnswer, s.Answer))
+	}
+}
+
+func (c *Control) asked(_ netip.Addr, a *directory.Ask) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.sendAnswers(c.server.Ask(now, a))
+	c.plan(now)
+}
+
+func (c *Control) answer(from netip.Addr, a *directory.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	a.Version = 0
+	c.answered(now, from, a)
+	if !c.votes() {
+		c.server.Leader = c.client.Leader()
+	}
+	c.plan(now)
+}
+
+// updateContacts tells the replica about control processes that can admit it.
+func (c *Control) updateContacts() {
+	q := c.quorum.Load()
+	if q == nil {
+		return
+	}
+	var contacts []netip.Addr
+	c.server.Table().Entries(vm.RoleControl, func(e *directory.Entry) { contacts = append(contacts, e.Address) })
+	slices.SortFunc(contacts, netip.Addr.Compare)
+	if slices.Equal(contacts, c.contacts) {
+		return
+	}
+	c.contacts = contacts
+	ids := make([]vm.ID, 0, len(contacts))
+	for _, a := range contacts {
+		ids = append(ids, replicaID(a))
+	}
+	q.SetContacts(ids)
+}
+
+func (c *Control) fetched(from netip.Addr, f *fetch) {
+	s := c.standing.Load()
+	if s == nil || s.State.Desired == nil || s.State.Desired.Version <= f.Above {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if d := s.State.Desired; c.packedAs != d.Version {
+		packed, err := packDesired(d)
+		if err != nil {
+			c.log.WithError(err).Error("desired state not sent")
+			return
+		}
+		c.packed, c.packedAs = packed, d.Version
+	}
+	c.lost(c.link.sendBytes(netip.AddrPortFrom(from, c.cfg.NodePort), kindDesired, c.packed))
+}
+
+func (c *Control) consensus(from netip.Addr, m *consensus.Message) {
+	if q := c.quorum.Load(); q != nil {
+		q.Deliver(*m)
+		return
+	}
+	if m.Join == nil || c.votes() {
+		return
+	}
+	c.sendConsensus([]consensus.Message{{
+		From: consensus.Replica{VM: replicaID(c.cfg.Address)}, To: m.From, JoinAnswered: &consensus.JoinResponse{Observer: true},
+	}})
+}
+
+func (c *Control) sendConsensus(messages []consensus.Message) {
+	for i := range messages {
+		to, err := netip.ParseAddr(string(messages[i].To.VM))
+		if err != nil {
+			c.log.WithError(err).Error("replica without an address")
+			continue
+		}
+		c.mu.Lock()
+		c.lost(c.link.send(to, c.cfg.ControlPort, kindConsensus, &messages[i]))
+		c.mu.Unlock()
+	}
+}
+
+// atLeader runs a call here if this process leads, and names the leader
+// otherwise. It waits for a while if there is none.
+func (c *Control) atLeader(ctx context.Context, here func(context.Context, *control.Quorum) error) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	for {
+		q := c.quorum.Load()
+		leader := netip.Addr{}
+		if s := c.standing.Load(); s != nil {
+			leader = leaderAddress(s)
+		} else if !c.votes() {
+			c.mu.Lock()
+			leader = c.client.Leader()
+			c.mu.Unlock()
+		}
+		switch {
+		case leader == c.cfg.Address && q != nil:
+			err := here(ctx, q)
+			var moved *consensus.NotLeaderError
+			if !errors.As(err, &moved) {
+				return err
+			}
+		case leader.IsValid() && leader != c.cfg.Address:
+			return &RedirectError{Leader: leader}
+		}
+		select {
+		case <-ctx.Done():
+			return &UnavailableError{Reason: "no leader is known"}
+		case <-time.After(leaderPoll):
+		}
+	}
+}
+
+// Propose decides a desired state.
+func (c *Control) Propose(ctx context.Context, d *intent.Desired) (result intent.Result, err error) {
+	err = c.atLeader(ctx, func(ctx context.Context, q *control.Quorum) error {
+		result, err = q.Propose(ctx, intent.Change{Kind: intent.KindDesired, Desired: d})
+		return err
+	})
+	entry := c.log.WithFields(logrus.Fields{"version": d.Version, "routes": len(d.Routes), "outcome": result.Outcome})
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info("desired state proposed")
+	return result, err
+}
+
+// Read returns the document in force, or nil.
+func (c *Control) Read(ctx context.Context) (document []byte, err error) {
+	err = c.atLeader(ctx, func(ctx context.Context, q *control.Quorum) error {
+		state, err := q.Read(ctx)
+		if err == nil && state.Desired != nil {
+			document = state.Desired.Document
+		}
+		return err
+	})
+	return document, err
+}
--- a/internal/intent/change.go
+++ b/internal/intent/change.go
@@ -33,6 +33,9 @@
 	KindContract  Kind = "contract"
 	// KindForget is proposed by the control leader only.
 	KindForget Kind = "forget"
+	// KindDesired replaces the versioned desired state. It carries no base
+	// revision and no operation id: its version takes the place of both.
+	KindDesired Kind = "desired"
 )
 
 // Change is one request of an operator or of the control leader. Exactly the
@@ -47,6 +50,7 @@
 	Leaving      *LeavingRule  `json:"leaving,omitempty"`
 	Contract     *ContractRule `json:"contract,omitempty"`
 	Forget       *ForgetRule   `json:"forget,omitempty"`
+	Desired      *Desired      `json:"desired,omitempty"`
 }
 
 // TrafficRule says whether a service takes traffic.
@@ -75,6 +79,9 @@
 	Accepted Outcome = "accepted"
 	Conflict Outcome = "conflict"
 	Rejected Outcome = "rejected"
+	// Superseded: a higher version of the desired state is in force, so that
+	// the change has no effect.
+	Superseded Outcome = "superseded"
 )
 
 // Result is the answer to a change.
@@ -91,6 +98,11 @@
 // state is not modified. A known operation id returns its first answer and
 // the same state; if the id belongs to another change, it is rejected. A change without an operation id is not remembered.
 func Apply(s *State, c Change) (*State, Result) {
+	if c.Kind == KindDesired && c.Desired != nil {
+		next := s.Clone()
+		result := next.decideDesired(c.Desired)
+		return next, result
+	}
 	content := c.content()
 	if op, ok := s.firstOperation(c.OperationID); ok {
 		if op.Content != 0 && op.Content != content {
@@ -109,6 +121,11 @@
 // its list of remembered ids differs from that of control and could answer a
 // reused id without applying the change.
 func Replay(s *State, c Change) (*State, error) {
+	if c.Kind == KindDesired && c.Desired != nil {
+		next := s.Clone()
+		next.decideDesired(c.Desired)
+		return next, nil
+	}
 	if c.BaseRevision != s.Revision {
 		return nil, &OrderError{Revision: s.Revision, Base: c.BaseRevision}
 	}
--- a/internal/intent/state.go
+++ b/internal/intent/state.go
@@ -77,6 +77,8 @@
 	NextServiceID service.ID   `json:"next_service_id"`
 	Operations    []Operation  `json:"operations"`
 	History       []HistoryRow `json:"history"`
+	// Desired is the versioned desired state, where one is used.
+	Desired *Desired `json:"desired,omitempty"`
 }
 
 // Operation is the remembered first answer to an operation id.
--- a/internal/intent/validate.go
+++ b/internal/intent/validate.go
@@ -21,6 +21,9 @@
 // current state is.
 func (c *Change) Validate() finding.List {
 	l := finding.List{}
+	if c.Kind == KindDesired && c.Desired != nil {
+		return c.Desired.Validate()
+	}
 	checkName(&l, "change", "operation_id", c.OperationID)
 	if len(c.Operator) > maxNameLength {
 		l.Errorf(finding.Place{Object: "change", Field: "operator"}, "longer than %d bytes", maxNameLength)
--- /dev/null
+++ b/internal/steering/agent.go
@@ -0,0 +1,438 @@
+package steering
+
+import (
+	"net/netip"
+	"time"
+
+	"bramleyhold.example/bramleyhold/internal/flow"
+	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/view"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+const (
+	// answerTimeout is how long an upstream may take to answer an opening. It
+	// answers without waiting for a slot; half of the caller's first
+	// retransmission interval of 200 ms leaves time to place it elsewhere.
+	answerTimeout = 100 * time.Millisecond
+	// silencePause is how long openings are returned at once after one got no
+	// answer: the interval of an upstream's announcements is about as long.
+	silencePause = time.Second
+	// requestWait is how long a new flow counts as busy before its first
+	// request arrives. Callers send it within a round trip or two.
+	requestWait = 500 * time.Millisecond
+	// doubtLifetime is how long the origin of a packet of an unknown flow is
+	// remembered. The upstream returns such a packet at once.
+	doubtLifetime = time.Second
+	// closedLifetime keeps a flow after both ends have finished, for late
+	// retransmissions (at most 1.6 s apart).
+	closedLifetime = 5 * time.Second
+	// sweepInterval is how often expired flows are looked for.
+	sweepInterval = time.Second
+	// ackWindow bounds how far a caller's acknowledgement may be ahead of the
+	// upstream's first sequence number while a flow opens: 16 packets of 1,200
+	// bytes, with room for a larger window.
+	ackWindow = 1 << 16
+)
+
+// AgentConfig is what an agent knows from its settings.
+type AgentConfig struct {
+	Service service.Name
+	// IdleTimeout is after which time without packets a flow is forgotten.
+	IdleTimeout time.Duration
+	// MaxFlows bounds the remembered flows.
+	MaxFlows int
+	// Started is when this process began to see the packets of its upstream.
+	Started time.Time
+}
+
+// Announcement is what an upstream tells about itself.
+type Announcement struct {
+	VM          vm.ID
+	Service     service.Name
+	Incarnation vm.Incarnation
+	// Sequence orders the announcements of one incarnation.
+	Sequence uint64
+	Status   view.Status
+	Slots    int
+	// Cold is how much longer the upstream is slow after its start.
+	Cold time.Duration
+}
+
+// Agent decides for the process beside one upstream.
+type Agent struct {
+	cfg      AgentConfig
+	tag      uint16
+	upstream Announcement
+	// known is set by the first announcement of this life of the agent.
+	known bool
+	// sawStart is set when the upstream started again during this life.
+	sawStart    bool
+	silentUntil time.Time
+	flows       map[flow.Key]*held
+	doubts      map[flow.Key]doubt
+	// unanswered holds the openings without an answer in the order of their
+	// delivery.
+	unanswered []unanswered
+	busy       int
+	sweepAt    time.Time
+}
+
+// held is a flow of the upstream.
+type held struct {
+	incarnation vm.Incarnation
+	origin      netip.Addr
+	// opening and answer are the first sequence numbers of both sides.
+	opening, answer uint32
+	answered        bool
+	open            bool
+	busy            bool
+	// requested is set by the first payload of the caller.
+	requested      bool
+	callerFinished bool
+	// lost: the upstream has returned a packet of the flow.
+	lost     bool
+	finished bool
+	openedAt time.Time
+	seenAt   time.Time
+}
+
+type doubt struct {
+	origin netip.Addr
+	until  time.Time
+}
+
+type unanswered struct {
+	key     flow.Key
+	opening uint32
+	at      time.Time
+}
+
+// NewAgent returns an agent that has not heard from its upstream.
+func NewAgent(cfg AgentConfig) *Agent {
+	return &Agent{cfg: cfg, tag: ServiceTag(cfg.Service), flows: map[flow.Key]*held{}, doubts: map[flow.Key]doubt{}}
+}
+
+// Upstream returns the last announcement and whether there was one.
+func (a *Agent) Upstream() (Announcement, bool) { return a.upstream, a.known }
+
+// Load returns the requests in progress and the flows.
+func (a *Agent) Load() (busy, flows int) { return a.busy, len(a.flows) }
+
+// Announce takes an announcement of the upstream. It reports whether it changed
+// what others have to know. Announcements of an earlier incarnation, or older
+// ones of the current incarnation, are ignored.
+func (a *Agent) Announce(n Announcement) bool {
+	before := a.upstream
+	if a.known {
+		if n.Incarnation < before.Incarnation || (n.Incarnation == before.Incarnation && n.Sequence <= before.Sequence) {
+			return false
+		}
+		if n.Incarnation == before.Incarnation && before.Status != view.Ready && n.Status == view.Ready {
+			// An upstream that is leaving does not come back.
+			n.Status = before.Status
+		}
+	}
+	changed := !a.known || n.Incarnation != before.Incarnation || n.Status != before.Status || n.Slots != before.Slots || n.VM != before.VM
+	if n.Incarnation != before.Incarnation {
+		a.silentUntil = time.Time{}
+		a.sawStart = a.known
+	}
+	a.upstream, a.known = n, true
+	return changed
+}
+
+// FromBalancer decides about a packet of a caller.
+func (a *Agent) FromBalancer(now time.Time, p *Packet, mark Mark, origin netip.Addr, data []byte, out *[]Action) {
+	if mark.Service != a.tag {
+		a.reject(p, origin, Foreign, out)
+		return
+	}
+	f := a.flows[p.Flow]
+	if p.Opens() {
+		a.opening(now, p, f, mark, origin, data, out)
+		return
+	}
+	if f == nil {
+		a.unknown(now, p, origin, data, out)
+		return
+	}
+	if !f.open {
+		if !p.Flags.Has(ACK) || !f.answered || p.Ack-f.answer > ackWindow {
+			// The caller has taken the answer of another upstream.
+			a.tell(origin, Message{Kind: NotFound, Flow: p.Flow, Ack: p.Ack}, NotHeld, out)
+			return
+		}
+		f.open = true
+	}
+	f.origin, f.seenAt = origin, now
+	a.track(f, p)
+	*out = append(*out, Action{Kind: Deliver, Reason: Known, Flow: p.Flow, Data: data})
+}
+
+// track notes what a packet of the caller does to the flow.
+func (a *Agent) track(f *held, p *Packet) {
+	switch {
+	case p.Flags.Has(RST):
+		a.setBusy(f, false)
+		f.finished = true
+	case p.Payload > 0:
+		f.requested = true
+		a.setBusy(f, true)
+	}
+	if p.Flags.Has(FIN) {
+		f.callerFinished = true
+	}
+}
+
+func (a *Agent) setBusy(f *held, busy bool) {
+	if f.busy == busy {
+		return
+	}
+	f.busy = busy
+	if busy {
+		a.busy++
+	} else {
+		a.busy--
+	}
+}
+
+// opening decides about a packet that asks for a new flow.
+func (a *Agent) opening(now time.Time, p *Packet, f *held, mark Mark, origin netip.Addr, data []byte, out *[]Action) {
+	if f != nil && f.opening == p.Sequence && f.incarnation == a.upstream.Incarnation {
+		f.origin = origin
+		*out = append(*out, Action{Kind: Deliver, Reason: Repeated, Flow: p.Flow, Data: data})
+		return
+	}
+	if verdict := a.refusal(now, mark); verdict != 0 {
+		a.reject(p, origin, verdict, out)
+		return
+	}
+	if f != nil {
+		a.forget(p.Flow, f)
+	}
+	f = &held{incarnation: a.upstream.Incarnation, origin: origin, opening: p.Sequence, openedAt: now, seenAt: now}
+	a.setBusy(f, true)
+	a.flows[p.Flow] = f
+	a.unanswered = append(a.unanswered, unanswered{key: p.Flow, opening: p.Sequence, at: now})
+	a.planSweep(now)
+	*out = append(*out, Action{Kind: Deliver, Reason: Placed, Flow: p.Flow, Data: data})
+}
+
+// refusal says why an opening is not taken, or 0.
+func (a *Agent) refusal(now time.Time, mark Mark) Verdict {
+	switch {
+	case !a.known:
+		return Unready
+	case a.upstream.Status != view.Ready:
+		return Leaving
+	case now.Before(a.silentUntil) && !mark.Last:
+		return Silent
+	case len(a.flows) >= a.cfg.MaxFlows:
+		return Refused
+	case !mark.Last && a.busy >= a.upstream.Slots:
+		return Busy
+	}
+	return 0
+}
+
+func (a *Agent) reject(p *Packet, origin netip.Addr, v Verdict, out *[]Action) {
+	if p.Opens() {
+		a.tell(origin, Message{Kind: Rejected, Verdict: v, Flow: p.Flow, Sequence: p.Sequence}, NotReady, out)
+		return
+	}
+	a.tell(origin, Message{Kind: NotFound, Flow: p.Flow, Ack: p.Ack}, WrongService, out)
+}
+
+// unknown hands a packet of an unknown flow to the upstream, which returns it
+// if it does not hold the flow either.
+func (a *Agent) unknown(now time.Time, p *Packet, origin netip.Addr, data []byte, out *[]Action) {
+	if a.certain(now) {
+		a.tell(origin, Message{Kind: NotFound, Flow: p.Flow, Ack: p.Ack}, NotHeld, out)
+		return
+	}
+	a.doubts[p.Flow] = doubt{origin: origin, until: now.Add(doubtLifetime)}
+	a.planSweep(now)
+	*out = append(*out, Action{Kind: Deliver, Reason: Tried, Flow: p.Flow, Data: data})
+}
+
+// certain reports whether this agent has seen a packet of every flow that its
+// upstream may hold.
+func (a *Agent) certain(now time.Time) bool {
+	if now.Sub(a.cfg.Started) > a.cfg.IdleTimeout+sweepInterval {
+		return true
+	}
+	return a.sawStart
+}
+
+// FromUpstream decides about a packet that the upstream sent or returned.
+func (a *Agent) FromUpstream(now time.Time, p *Packet, data []byte, out *[]Action) {
+	if p.Flags.Has(Returned) {
+		a.returned(p, out)
+		return
+	}
+	f := a.flows[p.Flow]
+	if f == nil {
+		f = a.adopt(now, p)
+	}
+	if f != nil {
+		a.replied(now, f, p, out)
+	}
+	*out = append(*out, Action{Kind: Reply, Reason: UpstreamReplied, Flow: p.Flow, Data: data})
+}
+
+// adopt takes up a flow of an earlier life of this agent.
+func (a *Agent) adopt(now time.Time, p *Packet) *held {
+	delete(a.doubts, p.Flow)
+	if p.Flags.Has(RST) || p.Flags.Has(SYN) || len(a.flows) >= a.cfg.MaxFlows {
+		return nil
+	}
+	f := &held{incarnation: a.upstream.Incarnation, answered: true, open: true, requested: true, openedAt: now, seenAt: now}
+	a.flows[p.Flow] = f
+	a.planSweep(now)
+	return f
+}
+
+func (a *Agent) replied(now time.Time, f *held, p *Packet, out *[]Action) {
+	f.seenAt = now
+	a.silentUntil = time.Time{}
+	if p.Flags.Has(SYN|ACK) && !f.answered {
+		f.answered, f.answer = true, p.Sequence
+		a.tell(f.origin, Message{Kind: Accepted, Flow: p.Flow, Sequence: p.Sequence}, UpstreamReplied, out)
+	}
+	if p.Payload > 0 || p.Flags&(FIN|RST) != 0 {
+		a.setBusy(f, false)
+	}
+	if p.Flags.Has(RST) || (p.Flags.Has(FIN) && f.callerFinished) {
+		f.finished = true
+	}
+}
+
+// returned deals with a packet that the upstream does not take.
+func (a *Agent) returned(p *Packet, out *[]Action) {
+	f := a.flows[p.Flow]
+	if p.Opens() {
+		if f == nil || f.opening != p.Sequence || f.answered {
+			*out = append(*out, Action{Kind: Drop, Reason: NotHeld, Flow: p.Flow})
+			return
+		}
+		origin := f.origin
+		a.forget(p.Flow, f)
+		a.reject(p, origin, Refused, out)
+		return
+	}
+	if f != nil {
+		a.setBusy(f, false)
+		if f.incarnation < a.upstream.Incarnation {
+			// The process that held the flow has ended.
+			*out = append(*out, Action{Kind: Reset, Reason: UpstreamLost, Flow: p.Flow, Sequence: p.Ack})
+			a.forget(p.Flow, f)
+			return
+		}
+		f.lost = true
+		a.tell(f.origin, Message{Kind: NotFound, Flow: p.Flow, Ack: p.Ack}, NotHeld, out)
+		return
+	}
+	d, ok := a.doubts[p.Flow]
+	if !ok {
+		*out = append(*out, Action{Kind: Drop, Reason: NotHeld, Flow: p.Flow})
+		return
+	}
+	delete(a.doubts, p.Flow)
+	a.tell(d.origin, Message{Kind: NotFound, Flow: p.Flow, Ack: p.Ack}, NotHeld, out)
+}
+
+// Message answers a question of a balancer.
+func (a *Agent) Message(now time.Time, from netip.Addr, m *Message, out *[]Action) {
+	if m.Kind != Locate {
+		return
+	}
+	answer := Message{Kind: Located, Verdict: HoldsNot, Flow: m.Flow, Ack: m.Ack}
+	f := a.flows[m.Flow]
+	switch {
+	case f != nil && !f.lost && (f.open || (f.answered && m.Ack-f.answer <= ackWindow)):
+		answer.Verdict = Holds
+		f.origin = from
+	case f == nil && !a.certain(now):
+		answer.Verdict = Unsure
+	}
+	a.tell(from, answer, Known, out)
+}
+
+func (a *Agent) tell(to netip.Addr, m Message, reason Reason, out *[]Action) {
+	m.Load, m.Flows = uint16(min(a.busy, 1<<16-1)), uint16(min(len(a.flows), 1<<16-1))
+	*out = append(*out, Action{Kind: Tell, Reason: reason, Flow: m.Flow, To: to, Message: m})
+}
+
+// Tick does what is due.
+func (a *Agent) Tick(now time.Time, out *[]Action) {
+	for len(a.unanswered) > 0 && now.Sub(a.unanswered[0].at) >= answerTimeout {
+		u := a.unanswered[0]
+		a.unanswered = a.unanswered[1:]
+		a.giveUp(now, u, out)
+	}
+	if !a.sweepAt.IsZero() && !now.Before(a.sweepAt) {
+		a.sweep(now)
+	}
+}
+
+// giveUp returns an opening that the upstream has not answered.
+func (a *Agent) giveUp(now time.Time, u unanswered, out *[]Action) {
+	f := a.flows[u.key]
+	if f == nil || f.answered || f.opening != u.opening {
+		return
+	}
+	a.silentUntil = now.Add(silencePause)
+	origin := f.origin
+	a.forget(u.key, f)
+	a.tell(origin, Message{Kind: Rejected, Verdict: Silent, Flow: u.key, Sequence: u.opening}, UpstreamLost, out)
+}
+
+// Deadline returns when Tick has something to do next; zero if never.
+func (a *Agent) Deadline() time.Time {
+	next := a.sweepAt
+	for len(a.unanswered) > 0 {
+		u := a.unanswered[0]
+		if f := a.flows[u.key]; f == nil || f.answered || f.opening != u.opening {
+			a.unanswered = a.unanswered[1:]
+			continue
+		}
+		if at := u.at.Add(answerTimeout); next.IsZero() || at.Before(next) {
+			next = at
+		}
+		break
+	}
+	return next
+}
+
+func (a *Agent) planSweep(now time.Time) {
+	if a.sweepAt.IsZero() {
+		a.sweepAt = now.Add(sweepInterval)
+	}
+}
+
+func (a *Agent) sweep(now time.Time) {
+	for key, f := range a.flows {
+		idle := now.Sub(f.seenAt)
+		if f.busy && !f.requested && idle > requestWait {
+			a.setBusy(f, false)
+		}
+		if idle > a.cfg.IdleTimeout || (f.finished && idle > closedLifetime) {
+			a.forget(key, f)
+		}
+	}
+	for key, d := range a.doubts {
+		if now.After(d.until) {
+			delete(a.doubts, key)
+		}
+	}
+	a.sweepAt = time.Time{}
+	if len(a.flows) > 0 || len(a.doubts) > 0 {
+		a.planSweep(now)
+	}
+}
+
+func (a *Agent) forget(key flow.Key, f *held) {
+	a.setBusy(f, false)
+	delete(a.flows, key)
+}
--- /dev/null
+++ b/internal/steering/balancer.go
@@ -0,0 +1,335 @@
+package steering
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"bramleyhold.example/bramleyhold/internal/flow"
+	"bramleyhold.example/bramleyhold/internal/intent"
+	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/zone"
+)
+
+const (
+	// openingTimeout is how long an agent may take to answer an opening before
+	// another upstream is tried. It exceeds answerTimeout and an exchange
+	// between zones, and is below the caller's first retransmission (200 ms).
+	openingTimeout = 150 * time.Millisecond
+	// openingLifetime is when a caller gives an opening up: 800 ms after its
+	// last copy, which is sent after 600 ms.
+	openingLifetime = 1400 * time.Millisecond
+	// locateTimeout is how long agents may take to answer a question.
+	locateTimeout = 60 * time.Millisecond
+	// maxHeldPackets bounds the packets that wait for an answer: a window.
+	maxHeldPackets = 16
+	// idleReserve is added to the idle timeout of flows, so that a balancer
+	// does not forget a flow before its upstream does.
+	idleReserve = 5 * time.Second
+	// finishedLifetime keeps a finished flow for late retransmissions.
+	finishedLifetime = 5 * time.Second
+)
+
+// BalancerConfig is what a balancer knows from its settings.
+type BalancerConfig struct {
+	Zone zone.ID
+	// MaxFlows bounds the remembered flows.
+	MaxFlows int
+	Random   *rand.Rand
+}
+
+type flowState uint8
+
+const (
+	// opening: an agent was asked to take the opening.
+	opening flowState = iota
+	// settled: the holder is known.
+	settled
+	// locating: the agents were asked for the holder.
+	locating
+	// trying: packets go to an agent that is unsure whether it holds the flow.
+	trying
+)
+
+// entry is what is remembered about one flow.
+type entry struct {
+	key    flow.Key
+	state  flowState
+	target *target
+	// sequence and first are the sequence number and the content of the
+	// opening.
+	sequence uint32
+	first    []byte
+	tried    []netip.Addr
+	offers   []offer
+	// startedAt is when the opening arrived, deadline when a step times out.
+	startedAt time.Time
+	deadline  time.Time
+	seenAt    time.Time
+	finished  bool
+	search    *search
+	held      [][]byte
+	ack       uint32
+}
+
+// offer is an upstream that has answered the opening.
+type offer struct {
+	target *target
+	answer uint32
+}
+
+// search collects the answers to a Locate.
+type search struct {
+	waiting int
+	unsure  []*target
+}
+
+// Balancer decides for a process on an entry VM.
+type Balancer struct {
+	cfg     BalancerConfig
+	desired *intent.Desired
+	routes  map[netip.AddrPort]*intent.Route
+	// removed holds the virtual addresses that an earlier desired state had.
+	removed map[netip.AddrPort]bool
+	targets map[netip.Addr]*target
+	members map[service.Name][]*target
+	flows   map[flow.Key]*entry
+	// due holds what times out, in the order in which it was planned.
+	due     []timer
+	sweepAt time.Time
+}
+
+type timer struct {
+	entry *entry
+	at    time.Time
+}
+
+// NewBalancer returns a balancer without routes and upstreams.
+func NewBalancer(cfg BalancerConfig) *Balancer {
+	return &Balancer{
+		cfg: cfg, routes: map[netip.AddrPort]*intent.Route{}, removed: map[netip.AddrPort]bool{},
+		targets: map[netip.Addr]*target{}, members: map[service.Name][]*target{}, flows: map[flow.Key]*entry{},
+	}
+}
+
+// Version returns the version of the desired state in force here, or 0.
+func (b *Balancer) Version() uint64 {
+	if b.desired == nil {
+		return 0
+	}
+	return b.desired.Version
+}
+
+// Flows returns how many flows are remembered.
+func (b *Balancer) Flows() int { return len(b.flows) }
+
+// SetDesired puts a desired state in force. Earlier versions are ignored. It
+// reports whether it took effect.
+func (b *Balancer) SetDesired(d *intent.Desired) bool {
+	if b.desired != nil && d.Version <= b.desired.Version {
+		return false
+	}
+	routes := make(map[netip.AddrPort]*intent.Route, len(d.Routes))
+	for i := range d.Routes {
+		routes[d.Routes[i].Virtual] = &d.Routes[i]
+		delete(b.removed, d.Routes[i].Virtual)
+	}
+	for virtual := range b.routes {
+		if routes[virtual] == nil {
+			b.removed[virtual] = true
+		}
+	}
+	b.desired, b.routes = d, routes
+	return true
+}
+
+// Packet decides about a packet of a caller.
+func (b *Balancer) Packet(now time.Time, p *Packet, data []byte, out *[]Action) {
+	route := b.routes[p.Flow.Virtual]
+	if p.Opens() {
+		b.open(now, route, p, data, out)
+		return
+	}
+	if route == nil && b.removed[p.Flow.Virtual] {
+		delete(b.flows, p.Flow)
+		b.reset(p, RouteRemoved, out)
+		return
+	}
+	e := b.flows[p.Flow]
+	if e == nil {
+		b.locate(now, b.add(now, p.Flow), p, data, out)
+		return
+	}
+	e.seenAt = now
+	if p.Flags&(FIN|RST) != 0 {
+		e.finished = true
+	}
+	switch e.state {
+	case opening:
+		b.confirm(e, p)
+		b.forward(e, Known, data, out)
+	case trying:
+		if now.Sub(e.startedAt) > doubtLifetime {
+			// The agent would have answered that its upstream lacks the flow.
+			e.state, e.held, e.search = settled, nil, nil
+		}
+		b.forward(e, Known, data, out)
+	case settled:
+		b.forward(e, Known, data, out)
+	case locating:
+		b.hold(e, data, out)
+	}
+}
+
+// confirm finds out which of the upstreams that answered an opening the caller
+// has chosen.
+func (b *Balancer) confirm(e *entry, p *Packet) {
+	for _, o := range e.offers {
+		if p.Ack-o.answer <= ackWindow {
+			e.target = o.target
+		}
+	}
+	e.state, e.first, e.offers, e.tried, e.deadline = settled, nil, nil, nil, time.Time{}
+}
+
+func (b *Balancer) reset(p *Packet, reason Reason, out *[]Action) {
+	if p.Flags.Has(RST) {
+		*out = append(*out, Action{Kind: Drop, Reason: reason, Flow: p.Flow})
+		return
+	}
+	*out = append(*out, Action{Kind: Reset, Reason: reason, Flow: p.Flow, Sequence: p.Ack})
+}
+
+func (b *Balancer) forward(e *entry, reason Reason, data []byte, out *[]Action) {
+	*out = append(*out, Action{
+		Kind: Forward, Reason: reason, Flow: e.key, To: e.target.Address.Addr(), Data: data,
+		Mark: Mark{Service: e.target.tag},
+	})
+}
+
+func (b *Balancer) hold(e *entry, data []byte, out *[]Action) {
+	if len(e.held) >= maxHeldPackets {
+		*out = append(*out, Action{Kind: Drop, Reason: HoldFull, Flow: e.key})
+		return
+	}
+	e.held = append(e.held, slices.Clone(data))
+}
+
+func (b *Balancer) add(now time.Time, key flow.Key) *entry {
+	e := &entry{key: key, startedAt: now, seenAt: now}
+	if len(b.flows) >= b.cfg.MaxFlows {
+		b.evict()
+	}
+	b.flows[key] = e
+	if b.sweepAt.IsZero() {
+		b.sweepAt = now.Add(sweepInterval)
+	}
+	return e
+}
+
+// evict forgets one flow. A forgotten flow is located again when it sends.
+func (b *Balancer) evict() {
+	for key := range b.flows {
+		delete(b.flows, key)
+		return
+	}
+}
+
+func (b *Balancer) plan(e *entry, at time.Time) {
+	e.deadline = at
+	b.due = append(b.due, timer{entry: e, at: at})
+}
+
+// Message takes an answer of an agent.
+func (b *Balancer) Message(now time.Time, from netip.Addr, m *Message, out *[]Action) {
+	t := b.targets[from]
+	if t == nil {
+		return
+	}
+	t.heard(now, m)
+	e := b.flows[m.Flow]
+	if e == nil {
+		return
+	}
+	switch m.Kind {
+	case Accepted:
+		b.accepted(e, t, m)
+	case Rejected:
+		b.rejected(now, e, t, m, out)
+	case NotFound:
+		b.notFound(now, e, t, m, out)
+	case Located:
+		b.located(now, e, t, m, out)
+	case Locate:
+	}
+}
+
+// Tick does what is due.
+func (b *Balancer) Tick(now time.Time, out *[]Action) {
+	for {
+		i := b.nextDue()
+		if i < 0 || now.Before(b.due[i].at) {
+			break
+		}
+		e := b.due[i].entry
+		b.due = slices.Delete(b.due, i, i+1)
+		e.deadline = time.Time{}
+		b.timedOut(now, e, out)
+	}
+	if !b.sweepAt.IsZero() && !now.Before(b.sweepAt) {
+		b.sweep(now)
+	}
+}
+
+// nextDue drops timers that no longer count and returns the first of the
+// others, or -1. There are a few kinds of time-outs, so that the list is nearly
+// in order.
+func (b *Balancer) nextDue() int {
+	b.due = slices.DeleteFunc(b.due, func(t timer) bool {
+		return t.entry.deadline != t.at || b.flows[t.entry.key] != t.entry
+	})
+	first := -1
+	for i := range b.due {
+		if first < 0 || b.due[i].at.Before(b.due[first].at) {
+			first = i
+		}
+	}
+	return first
+}
+
+// Deadline returns when Tick has something to do next; zero if never.
+func (b *Balancer) Deadline() time.Time {
+	next := b.sweepAt
+	if i := b.nextDue(); i >= 0 && (next.IsZero() || b.due[i].at.Before(next)) {
+		next = b.due[i].at
+	}
+	return next
+}
+
+func (b *Balancer) timedOut(now time.Time, e *entry, out *[]Action) {
+	switch e.state {
+	case opening:
+		b.unanswered(now, e, out)
+	case locating:
+		b.searchEnded(now, e, out)
+	case trying, settled:
+	}
+}
+
+func (b *Balancer) sweep(now time.Time) {
+	limit := idleReserve
+	if b.desired != nil {
+		limit += b.desired.IdleTimeout
+	}
+	for key, e := range b.flows {
+		idle := now.Sub(e.seenAt)
+		if idle > limit || (e.finished && idle > finishedLifetime) || (e.state == opening && idle > openingLifetime) {
+			delete(b.flows, key)
+		}
+	}
+	b.sweepAt = time.Time{}
+	if len(b.flows) > 0 {
+		b.sweepAt = now.Add(sweepInterval)
+	}
+}
--- /dev/null
+++ b/internal/steering/packet.go
@@ -0,0 +1,109 @@
+package steering
+
+import (
+	"net/netip"
+
+	"bramleyhold.example/bramleyhold/internal/flow"
+	"bramleyhold.example/bramleyhold/internal/service"
+)
+
+// Flags are the properties of a packet that decisions depend on.
+type Flags uint8
+
+// The flags of a packet.
+const (
+	SYN Flags = 1 << iota
+	ACK
+	FIN
+	RST
+	// Returned is set by an upstream on a packet that it does not take.
+	Returned
+)
+
+// Has reports whether all the given flags are set.
+func (f Flags) Has(other Flags) bool { return f&other == other }
+
+// Packet is what decisions need to know of a packet, in either direction.
+type Packet struct {
+	Flow     flow.Key
+	Flags    Flags
+	Sequence uint32
+	Ack      uint32
+	// Payload is the number of bytes after the header.
+	Payload int
+}
+
+// Opens reports whether the packet asks for a new flow.
+func (p *Packet) Opens() bool { return p.Flags.Has(SYN) && !p.Flags.Has(ACK) && !p.Flags.Has(RST) }
+
+// Mark travels in a packet from a balancer to an agent.
+type Mark struct {
+	// Service is the tag of the service that the balancer chose. An agent of
+	// another service does not deliver the packet, so that an address that was
+	// given to another service leads nobody astray.
+	Service uint16
+	// Last says that no other upstream is left to try.
+	Last bool
+}
+
+// ActionKind says what to do.
+type ActionKind uint8
+
+// The kinds of actions.
+const (
+	// Forward Data with Mark to the agent at To.
+	Forward ActionKind = iota + 1
+	// Deliver Data to the upstream beside the agent.
+	Deliver
+	// Reply sends Data of the upstream to the caller.
+	Reply
+	// Reset tells the caller that its flow is not or no longer there.
+	Reset
+	// Tell sends Message to the process at To.
+	Tell
+	// Drop the packet.
+	Drop
+)
+
+// Reason says why. It names a counter and appears in the decision log.
+type Reason string
+
+// The reasons of actions.
+const (
+	Placed          Reason = "placed"
+	PlacedAgain     Reason = "placed_again"
+	Repeated        Reason = "repeated"
+	Known           Reason = "known"
+	Found           Reason = "found"
+	Tried           Reason = "tried"
+	NoRoute         Reason = "no_route"
+	RouteRemoved    Reason = "route_removed"
+	NoUpstream      Reason = "no_upstream"
+	NoneAnswered    Reason = "none_answered"
+	NotReady        Reason = "not_ready"
+	NotHeld         Reason = "not_held"
+	HoldFull        Reason = "hold_full"
+	WrongService    Reason = "wrong_service"
+	UpstreamReplied Reason = "upstream_replied"
+	UpstreamLost    Reason = "upstream_lost"
+	NotOurs         Reason = "not_ours"
+)
+
+// Action is one thing to do, in the order given. Data is valid until the next
+// call.
+type Action struct {
+	Kind    ActionKind
+	Reason  Reason
+	Flow    flow.Key
+	To      netip.Addr
+	Mark    Mark
+	Data    []byte
+	Message Message
+	// Sequence is that of a Reset: the last acknowledgement of the caller.
+	Sequence uint32
+}
+
+// ServiceTag returns the tag of a service in marks.
+func ServiceTag(name service.Name) uint16 {
+	return uint16(hashName(string(name)))
+}
--- /dev/null
+++ b/internal/steering/search.go
@@ -0,0 +1,97 @@
+package steering
+
+import (
+	"time"
+
+	"bramleyhold.example/bramleyhold/internal/flow"
+)
+
+// splitHasher spreads flows over the services of a split. It needs no secret:
+// a caller that chooses its port chooses one of the services that the route
+// allows anyway.
+var splitHasher = flow.Hasher{K0: 1, K1: 2}
+
+// locate asks all agents who holds a flow. Packets wait for the answer.
+func (b *Balancer) locate(now time.Time, e *entry, p *Packet, data []byte, out *[]Action) {
+	e.state, e.target, e.ack = locating, nil, p.Ack
+	e.search = &search{}
+	if data != nil {
+		b.hold(e, data, out)
+	}
+	for _, t := range b.targets {
+		if !t.Reachable() {
+			continue
+		}
+		e.search.waiting++
+		*out = append(*out, Action{
+			Kind: Tell, Reason: Tried, Flow: e.key, To: t.Address.Addr(),
+			Message: Message{Kind: Locate, Flow: e.key, Ack: p.Ack},
+		})
+	}
+	if e.search.waiting == 0 {
+		delete(b.flows, e.key)
+		*out = append(*out, Action{Kind: Drop, Reason: NoUpstream, Flow: e.key})
+		return
+	}
+	b.plan(e, now.Add(locateTimeout))
+}
+
+func (b *Balancer) located(now time.Time, e *entry, t *target, m *Message, out *[]Action) {
+	if e.search == nil {
+		return
+	}
+	e.search.waiting--
+	switch m.Verdict {
+	case Holds:
+		b.settle(e, t, Found, out)
+		return
+	case Unsure:
+		e.search.unsure = append(e.search.unsure, t)
+	}
+	if e.search.waiting <= 0 && e.state == locating {
+		b.searchEnded(now, e, out)
+	}
+}
+
+// settle sends what has waited to the holder.
+func (b *Balancer) settle(e *entry, t *target, reason Reason, out *[]Action) {
+	e.state, e.target, e.search, e.deadline = settled, t, nil, time.Time{}
+	b.release(e, reason, out)
+}
+
+func (b *Balancer) release(e *entry, reason Reason, out *[]Action) {
+	for _, data := range e.held {
+		b.forward(e, reason, data, out)
+	}
+	e.held = nil
+}
+
+// searchEnded tries the agents that are unsure one after the other. A flow that
+// nobody holds is forgotten; its next packet starts a new search.
+func (b *Balancer) searchEnded(now time.Time, e *entry, out *[]Action) {
+	if len(e.search.unsure) == 0 {
+		delete(b.flows, e.key)
+		*out = append(*out, Action{Kind: Drop, Reason: NotHeld, Flow: e.key})
+		return
+	}
+	e.target = e.search.unsure[0]
+	e.search.unsure = e.search.unsure[1:]
+	e.state, e.deadline, e.startedAt = trying, time.Time{}, now
+	for _, data := range e.held {
+		b.forward(e, Tried, data, out)
+	}
+}
+
+// notFound deals with a packet that the chosen upstream does not hold.
+func (b *Balancer) notFound(now time.Time, e *entry, t *target, m *Message, out *[]Action) {
+	if e.target != t {
+		return
+	}
+	switch e.state {
+	case trying:
+		b.searchEnded(now, e, out)
+	case settled:
+		b.locate(now, e, &Packet{Flow: e.key, Ack: m.Ack}, nil, out)
+	case opening, locating:
+	}
+}
