Decision log, counters in the exposition format, metrics ports

Change: decisionlog writes a bounded line per decision in a goroutine of its own; counters by kind and reason; /metrics per program.

--- a/cmd/platform-agent/main.go
+++ b/cmd/platform-agent/main.go
@@ -14,7 +14,7 @@
 }
 
 func start(ctx context.Context, p platform.Process) (platform.Service, error) {
-	agent, err := fabric.NewAgent(p.Config, platform.Codec{}, p.Log, platform.Load)
+	agent, err := fabric.NewAgent(p.Config, p.Environment)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/platform-balancer/main.go
+++ b/cmd/platform-balancer/main.go
@@ -14,7 +14,7 @@
 }
 
 func start(ctx context.Context, p platform.Process) (platform.Service, error) {
-	balancer, err := fabric.NewBalancer(p.Config, platform.Codec{}, p.Log, platform.Load)
+	balancer, err := fabric.NewBalancer(p.Config, p.Environment)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/platform-control/main.go
+++ b/cmd/platform-control/main.go
@@ -13,7 +13,7 @@
 }
 
 func start(ctx context.Context, p platform.Process) (platform.Service, error) {
-	control, err := fabric.NewControl(p.Config, p.Log, platform.Load)
+	control, err := fabric.NewControl(p.Config, p.Environment)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"bramleyhold.example/bramleyhold/internal/decisionlog"
 	"bramleyhold.example/bramleyhold/internal/directory"
 	"bramleyhold.example/bramleyhold/internal/steering"
 	"bramleyhold.example/bramleyhold/internal/view"
@@ -28,17 +29,18 @@
 // Agent runs beside an upstream.
 type Agent struct {
 	*node
-	codec    Codec
 	core     *steering.Agent
 	packets  *net.UDPConn
 	outbound *net.UDPConn
 	actions  []steering.Action
+	// outcomes counts actions by kind and reason.
+	outcomes outcomes
 	stopping bool
 }
 
 // NewAgent opens the sockets. Run must be called to serve.
-func NewAgent(cfg Config, codec Codec, log *logrus.Entry, reload func() (Config, error)) (*Agent, error) {
-	n, err := newNode(cfg, vm.RoleUpstream, cfg.NodePort, false, log, reload)
+func NewAgent(cfg Config, env Environment) (*Agent, error) {
+	n, err := newNode(cfg, env, vm.RoleUpstream, cfg.NodePort, false)
 	if err != nil {
 		return nil, err
 	}
@@ -51,7 +53,7 @@
 		return nil, errors.Join(fmt.Errorf("open outbound socket: %w", err), packets.Close(), n.close())
 	}
 	a := &Agent{
-		node: n, codec: codec, packets: packets, outbound: outbound,
+		node: n, packets: packets, outbound: outbound, outcomes: newOutcomes(env.Registry),
 		core: steering.NewAgent(steering.AgentConfig{
 			Service: cfg.Service, IdleTimeout: agentIdleTimeout, MaxFlows: maxAgentFlows, Started: time.Now(),
 		}),
@@ -101,7 +103,7 @@
 	if !changed || stopping {
 		return
 	}
-	a.log.WithFields(logrus.Fields{
+	a.Log.WithFields(logrus.Fields{
 		"upstream": current.VM, "incarnation": current.Incarnation, "sequence": current.Sequence,
 		"status": current.Status, "slots": current.Slots,
 	}).Info("upstream changed")
@@ -144,10 +146,10 @@
 			continue
 		}
 		data := buffer[:n]
-		if a.codec.Decode(data, false, &p) != nil {
+		if a.Codec.Decode(data, false, &p) != nil {
 			continue
 		}
-		mark, ok := a.codec.TakeMark(data)
+		mark, ok := a.Codec.TakeMark(data)
 		if !ok {
 			continue
 		}
@@ -171,7 +173,7 @@
 			continue
 		}
 		data := buffer[:n]
-		if a.codec.Decode(data, true, &p) != nil {
+		if a.Codec.Decode(data, true, &p) != nil {
 			continue
 		}
 		a.mu.Lock()
@@ -191,7 +193,39 @@
 	}
 }
 
+// observe counts an action and writes a line about it if it decides something
+// new, or if a request starts.
+func (a *Agent) observe(action *steering.Action) {
+	a.outcomes.count(action)
+	line := decisionlog.Line{
+		At: time.Now(), Event: eventNames[action.Kind], Reason: string(action.Reason), Flow: action.Flow, Peer: action.To,
+	}
+	switch action.Kind {
+	case steering.Deliver:
+		if line.Request = a.Codec.Request(action.Data); line.Request != "" {
+			line.Event = "request"
+			a.Decisions.Ordinary(line)
+		} else if action.Reason == steering.Tried {
+			a.Decisions.Important(line)
+		}
+	case steering.Tell:
+		line.Event, line.Load = action.Message.Kind.String(), int(action.Message.Load)
+		if v := action.Message.Verdict.String(); v != "" {
+			line.Reason = v
+		}
+		if action.Message.Kind == steering.Accepted {
+			a.Decisions.Ordinary(line)
+		} else {
+			a.Decisions.Important(line)
+		}
+	case steering.Reply:
+	default:
+		a.Decisions.Important(line)
+	}
+}
+
 func (a *Agent) execute(action *steering.Action) {
+	a.observe(action)
 	switch action.Kind {
 	case steering.Deliver:
 		_, err := a.outbound.WriteToUDPAddrPort(action.Data, a.cfg.Upstream)
@@ -200,7 +234,7 @@
 		a.toCaller(action, action.Data)
 	case steering.Reset:
 		var buffer [64]byte
-		a.toCaller(action, a.codec.AppendReset(buffer[:0], action.Flow, action.Sequence))
+		a.toCaller(action, a.Codec.AppendReset(buffer[:0], action.Flow, action.Sequence))
 	case steering.Tell:
 		a.lost(a.link.send(action.To, a.cfg.NodePort, kindSteering, &action.Message))
 	case steering.Drop, steering.Forward:
--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"bramleyhold.example/bramleyhold/internal/decisionlog"
 	"bramleyhold.example/bramleyhold/internal/directory"
 	"bramleyhold.example/bramleyhold/internal/ranking"
 	"bramleyhold.example/bramleyhold/internal/steering"
@@ -35,18 +36,19 @@
 // Balancer runs on an entry VM.
 type Balancer struct {
 	*node
-	codec   Codec
 	core    *steering.Balancer
 	packets *net.UDPConn
 	actions []steering.Action
-	joined  time.Time
-	last    time.Time
-	leaving bool
+	// outcomes counts actions by kind and reason.
+	outcomes outcomes
+	joined   time.Time
+	last     time.Time
+	leaving  bool
 }
 
 // NewBalancer opens the sockets. Run must be called to serve.
-func NewBalancer(cfg Config, codec Codec, log *logrus.Entry, reload func() (Config, error)) (*Balancer, error) {
-	n, err := newNode(cfg, vm.RoleBalancer, cfg.NodePort, true, log, reload)
+func NewBalancer(cfg Config, env Environment) (*Balancer, error) {
+	n, err := newNode(cfg, env, vm.RoleBalancer, cfg.NodePort, true)
 	if err != nil {
 		return nil, err
 	}
@@ -55,7 +57,7 @@
 		return nil, errors.Join(fmt.Errorf("open packet socket: %w", err), n.close())
 	}
 	b := &Balancer{
-		node: n, codec: codec, packets: packets,
+		node: n, packets: packets, outcomes: newOutcomes(env.Registry),
 		core: steering.NewBalancer(steering.BalancerConfig{Zone: cfg.Zone, MaxFlows: maxBalancerFlows, Random: newRandom()}),
 	}
 	n.due = func(now time.Time) { b.decide(func() { b.core.Tick(now, &b.actions) }) }
@@ -128,7 +130,7 @@
 			continue
 		}
 		data := buffer[:n]
-		if b.codec.Decode(data, false, &p) != nil {
+		if b.Codec.Decode(data, false, &p) != nil {
 			continue
 		}
 		b.mu.Lock()
@@ -150,14 +152,15 @@
 }
 
 func (b *Balancer) execute(a *steering.Action) {
+	b.observe(a)
 	switch a.Kind {
 	case steering.Forward:
-		b.codec.SetMark(a.Data, a.Mark)
+		b.Codec.SetMark(a.Data, a.Mark)
 		_, err := b.packets.WriteToUDPAddrPort(a.Data, netip.AddrPortFrom(a.To, b.cfg.Packets.Port()))
 		b.lost(err)
 	case steering.Reset:
 		var buffer [64]byte
-		reset := b.codec.AppendReset(buffer[:0], a.Flow, a.Sequence)
+		reset := b.Codec.AppendReset(buffer[:0], a.Flow, a.Sequence)
 		_, err := b.packets.WriteToUDPAddrPort(reset, netip.AddrPortFrom(a.Flow.Caller.Addr(), b.cfg.Packets.Port()))
 		b.lost(err)
 	case steering.Tell:
@@ -166,10 +169,34 @@
 	}
 }
 
+// observe counts an action and writes a line about it if it decides something
+// new: packets of known flows are counted only.
+func (b *Balancer) observe(a *steering.Action) {
+	b.outcomes.count(a)
+	line := decisionlog.Line{
+		At: time.Now(), Event: eventNames[a.Kind], Reason: string(a.Reason), Flow: a.Flow, Peer: a.To, Version: b.version,
+	}
+	switch {
+	case a.Kind == steering.Forward && a.Reason == steering.Placed:
+		line.Load, line.Slots, line.AgeMillis, line.Try = a.Choice.Load, a.Choice.Slots, a.Choice.Age.Milliseconds(), a.Choice.Try
+		b.Decisions.Ordinary(line)
+	case a.Kind == steering.Forward && a.Reason == steering.PlacedAgain:
+		line.Load, line.Slots, line.AgeMillis, line.Try = a.Choice.Load, a.Choice.Slots, a.Choice.Age.Milliseconds(), a.Choice.Try
+		b.Decisions.Important(line)
+	case a.Kind == steering.Forward && (a.Reason == steering.Known || a.Reason == steering.Repeated):
+	case a.Kind == steering.Tell:
+	default:
+		b.Decisions.Important(line)
+	}
+}
+
 func (b *Balancer) message(from netip.Addr, m *steering.Message) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
+	if m.Kind == steering.Rejected || m.Kind == steering.NotFound {
+		b.Decisions.Important(decisionlog.Line{At: now, Event: m.Kind.String(), Reason: m.Verdict.String(), Flow: m.Flow, Peer: from, Load: int(m.Load)})
+	}
 	b.decide(func() { b.core.Message(now, from, m, &b.actions) })
 	b.plan(now)
 }
@@ -214,6 +241,6 @@
 	defer b.mu.Unlock()
 	if b.core.SetDesired(d) {
 		b.tookVersion(d.Version)
-		b.log.WithFields(logrus.Fields{"version": d.Version, "routes": len(d.Routes), "control": from}).Info("desired state in force")
+		b.Log.WithFields(logrus.Fields{"version": d.Version, "routes": len(d.Routes), "control": from}).Info("desired state in force")
 	}
 }
--- a/internal/fabric/config.go
+++ b/internal/fabric/config.go
@@ -5,6 +5,10 @@
 	"net/netip"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"bramleyhold.example/bramleyhold/internal/decisionlog"
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/steering"
@@ -50,12 +54,24 @@
 	Contact time.Duration
 }
 
+// Environment is what a process runs with besides its configuration.
+type Environment struct {
+	Log       *logrus.Entry
+	Decisions *decisionlog.Log
+	Registry  metrics.Registry
+	Codec     Codec
+	// Reload reads the settings again.
+	Reload func() (Config, error)
+}
+
 // Codec reads and marks packets. Decode reports an error for what is no packet.
 type Codec interface {
 	Decode(data []byte, fromUpstream bool, p *steering.Packet) error
 	SetMark(data []byte, m steering.Mark)
 	// TakeMark returns the mark of a packet and clears it.
 	TakeMark(data []byte) (steering.Mark, bool)
+	// Request returns the id of the request that starts in a packet, or "".
+	Request(data []byte) string
 	AppendReset(dst []byte, key flow.Key, sequence uint32) []byte
 }
 
--- a/internal/fabric/control.go
+++ b/internal/fabric/control.go
@@ -51,8 +51,8 @@
 }
 
 // NewControl opens the link. Run must be called to serve.
-func NewControl(cfg Config, log *logrus.Entry, reload func() (Config, error)) (*Control, error) {
-	n, err := newNode(cfg, vm.RoleControl, cfg.ControlPort, false, log, reload)
+func NewControl(cfg Config, env Environment) (*Control, error) {
+	n, err := newNode(cfg, env, vm.RoleControl, cfg.ControlPort, false)
 	if err != nil {
 		return nil, err
 	}
@@ -109,7 +109,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		c.log.WithError(err).Error("replica stopped; it is opened again")
+		c.Log.WithError(err).Error("replica stopped; it is opened again")
 		select {
 		case <-ctx.Done():
 		case <-time.After(reopenPause):
@@ -156,7 +156,7 @@
 func (c *Control) changed(s control.Standing) {
 	before := c.standing.Swap(&s)
 	if before == nil || before.Role != s.Role || before.Leader != s.Leader {
-		c.log.WithFields(logrus.Fields{"role": s.Role, "leader": s.Leader, "term": s.Term, "voters": len(s.Voters)}).Info("role changed")
+		c.Log.WithFields(logrus.Fields{"role": s.Role, "leader": s.Leader, "term": s.Term, "voters": len(s.Voters)}).Info("role changed")
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -167,7 +167,7 @@
 	}
 	if version > c.server.Version {
 		c.server.Version = version
-		c.log.WithField("version", version).Info("desired state accepted")
+		c.Log.WithField("version", version).Info("desired state accepted")
 		c.sendAnswers(c.server.Notices(time.Now()))
 	}
 }
@@ -243,7 +243,7 @@
 	if d := s.State.Desired; c.packedAs != d.Version {
 		packed, err := packDesired(d)
 		if err != nil {
-			c.log.WithError(err).Error("desired state not sent")
+			c.Log.WithError(err).Error("desired state not sent")
 			return
 		}
 		c.packed, c.packedAs = packed, d.Version
@@ -268,7 +268,7 @@
 	for i := range messages {
 		to, err := netip.ParseAddr(string(messages[i].To.VM))
 		if err != nil {
-			c.log.WithError(err).Error("replica without an address")
+			c.Log.WithError(err).Error("replica without an address")
 			continue
 		}
 		c.mu.Lock()
@@ -316,7 +316,7 @@
 		result, err = q.Propose(ctx, intent.Change{Kind: intent.KindDesired, Desired: d})
 		return err
 	})
-	entry := c.log.WithFields(logrus.Fields{"version": d.Version, "routes": len(d.Routes), "outcome": result.Outcome})
+	entry := c.Log.WithFields(logrus.Fields{"version": d.Version, "routes": len(d.Routes), "outcome": result.Outcome})
 	if err != nil {
 		entry = entry.WithError(err)
 	}
--- a/internal/fabric/node.go
+++ b/internal/fabric/node.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"bramleyhold.example/bramleyhold/internal/directory"
@@ -40,10 +41,9 @@
 // node is what all processes have in common: the link, the directory and one
 // lock over the decisions of the process.
 type node struct {
-	cfg    Config
-	log    *logrus.Entry
-	reload func() (Config, error)
-	link   *link
+	Environment
+	cfg  Config
+	link *link
 
 	mu      sync.Mutex
 	client  *directory.Client
@@ -61,13 +61,13 @@
 	closed   bool
 }
 
-func newNode(cfg Config, role vm.Role, port uint16, subscribe bool, log *logrus.Entry, reload func() (Config, error)) (*node, error) {
+func newNode(cfg Config, env Environment, role vm.Role, port uint16, subscribe bool) (*node, error) {
 	l, err := openLink(cfg.Address, port)
 	if err != nil {
 		return nil, err
 	}
 	now := time.Now()
-	n := &node{cfg: cfg, log: log, reload: reload, link: l, answerAt: now}
+	n := &node{Environment: env, cfg: cfg, link: l, answerAt: now}
 	n.client = directory.NewClient(directory.ClientConfig{
 		Self: directory.Record{
 			VM: cfg.VM, Role: role, Address: cfg.Address, PacketPort: cfg.Packets.Port(), Zone: cfg.Zone,
@@ -120,11 +120,23 @@
 // lost notes a message that could not be sent. It counts as lost on the way.
 func (n *node) lost(err error) {
 	if err != nil {
-		n.log.WithError(err).Debug("message not sent")
+		n.count("link.not_sent")
+		n.Log.WithError(err).Debug("message not sent")
 	}
 }
 
-func (n *node) rejected(err error) { n.log.WithError(err).Warn("message rejected") }
+// rejected notes a message that cannot be read. Anybody can send one, so that
+// lines about them are for debugging only.
+func (n *node) rejected(err error) {
+	n.count("link.rejected")
+	n.Log.WithError(err).Debug("message rejected")
+}
+
+func (n *node) count(name string) { metrics.GetOrRegisterCounter(name, n.Registry).Inc(1) }
+
+func (n *node) gauge(name string, value int) {
+	metrics.GetOrRegisterGauge(name, n.Registry).Update(int64(value))
+}
 
 // reloadIfSilent reads the settings again while no control process answers.
 func (n *node) reloadIfSilent(now time.Time) {
@@ -136,13 +148,13 @@
 }
 
 func (n *node) readSettings(now time.Time) {
-	cfg, err := n.reload()
+	cfg, err := n.Environment.Reload()
 	if err != nil {
-		n.log.WithError(err).Error("settings not reloaded; the former ones stay in force")
+		n.Log.WithError(err).Error("settings not reloaded; the former ones stay in force")
 		return
 	}
 	n.client.SetSeeds(now, cfg.Seeds)
-	n.log.WithField("seeds", cfg.Seeds).Info("settings reloaded")
+	n.Log.WithField("seeds", cfg.Seeds).Info("settings reloaded")
 }
 
 // Reload takes over changed settings.
@@ -157,7 +169,7 @@
 	n.answerAt = now
 	news := n.client.Answer(now, from, a)
 	if news.Joined {
-		n.log.WithFields(logrus.Fields{"control": from, "version": a.Version}).Info("control reached")
+		n.Log.WithFields(logrus.Fields{"control": from, "version": a.Version}).Info("control reached")
 	}
 	n.ask(news.Requests)
 	if news.Version > n.version && now.Sub(n.fetchAt) >= fetchInterval {
--- a/internal/steering/message.go
+++ b/internal/steering/message.go
@@ -26,6 +26,17 @@
 	Located
 )
 
+var messageNames = [...]string{
+	Accepted: "accepted", Rejected: "rejected", NotFound: "not_found", Locate: "locate", Located: "located",
+}
+
+func (k MessageKind) String() string {
+	if int(k) < len(messageNames) {
+		return messageNames[k]
+	}
+	return "unknown"
+}
+
 // Verdict is the content of an answer.
 type Verdict uint8
 
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/service"
@@ -101,6 +102,18 @@
 	Message Message
 	// Sequence is that of a Reset: the last acknowledgement of the caller.
 	Sequence uint32
+	// Choice is set where an upstream was chosen for an opening.
+	Choice Choice
+}
+
+// Choice is what decided for an upstream.
+type Choice struct {
+	// Load is how many requests the upstream had in progress, as far as was
+	// known, of Slots. Age is how old that was.
+	Load, Slots int
+	Age         time.Duration
+	// Try counts the upstreams that got the opening.
+	Try int
 }
 
 // ServiceTag returns the tag of a service in marks.
--- a/internal/steering/placement.go
+++ b/internal/steering/placement.go
@@ -139,7 +139,8 @@
 	b.plan(e, now.Add(openingTimeout))
 	*out = append(*out, Action{
 		Kind: Forward, Reason: reason, Flow: e.key, To: best.Address.Addr(), Data: e.first,
-		Mark: Mark{Service: best.tag, Last: !more},
+		Mark:   Mark{Service: best.tag, Last: !more},
+		Choice: Choice{Load: best.load + best.placed, Slots: best.Slots, Age: now.Sub(best.reportedAt), Try: len(e.tried)},
 	})
 }
 
