steering: openings wait for an upstream, dead flows are reset after two searches

Change: openings wait up to their lifetime while upstreams are starting; control processes tell whether their directory is complete; a flow that every upstream denies twice is reset.

--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -45,6 +45,7 @@
 	version  uint64
 	leader   netip.Addr
 	synced   bool
+	complete bool
 }
 
 // control is what is known about one control process.
@@ -79,6 +80,10 @@
 // Synced reports whether a control process has answered.
 func (c *Client) Synced() bool { return c.synced }
 
+// Complete reports whether the table has every process that is running: a
+// control process whose table is complete has told all of it.
+func (c *Client) Complete() bool { return c.complete }
+
 // Leader returns the control process that leads, if it is known.
 func (c *Client) Leader() netip.Addr { return c.leader }
 
@@ -163,6 +168,8 @@
 	Version uint64
 	// Requests tell the control processes about a raised process number.
 	Requests []Request
+	// Completed: the table is complete for the first time.
+	Completed bool
 	// Joined: this was the first answer.
 	Joined bool
 }
@@ -184,7 +191,9 @@
 	if a.Version > c.version {
 		news.Version = a.Version
 	}
+	before := c.complete
 	news.Changed = c.take(now, k, a)
+	news.Completed = c.complete && !before
 	if a.Process > c.cfg.Self.Process {
 		// The clock of this VM is behind that of an earlier process.
 		news.Requests = c.Announce(now, func(r *Record) { r.Process = a.Process + 1 })
@@ -206,8 +215,11 @@
 	if a.Epoch != k.epoch {
 		k.epoch, k.position = a.Epoch, 0
 	}
-	if a.From <= k.position && a.To > k.position {
+	if a.From <= k.position && a.To >= k.position {
 		k.position = a.To
+		if a.Complete {
+			c.complete = true
+		}
 	}
 	return changed
 }
--- a/internal/directory/message.go
+++ b/internal/directory/message.go
@@ -32,6 +32,9 @@
 	Leader netip.Addr
 	// Version is the version of the desired state that is in force there.
 	Version uint64
+	// Complete: the table has the records of all processes that can reach the
+	// control process, and the records up to To are the last ones.
+	Complete bool
 	// Process is the latest process known at the place of the asking one.
 	Process uint64
 }
--- a/internal/directory/record.go
+++ b/internal/directory/record.go
@@ -118,6 +118,15 @@
 	return true
 }
 
+// Add takes a record that was learned from another control process. It is not
+// a sign of life.
+func (t *Table) Add(now time.Time, r *Record) bool {
+	if e := t.entries[r.key()]; e != nil && !r.newer(&e.Record) {
+		return false
+	}
+	return t.Put(now, r)
+}
+
 // Known returns the process that the table has at the place of a record.
 func (t *Table) Known(r *Record) uint64 {
 	if e := t.entries[r.key()]; e != nil {
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -25,6 +25,8 @@
 	Epoch uint64
 	// Self is the own record.
 	Self Record
+	// Started is when the server began to listen.
+	Started time.Time
 }
 
 // Server answers for one control process.
@@ -33,6 +35,7 @@
 	table       *Table
 	subscribers map[netip.Addr]*subscriber
 	expireAt    time.Time
+	complete    bool
 	// Version and Leader are told in each answer.
 	Version uint64
 	Leader  netip.Addr
@@ -52,7 +55,8 @@
 }
 
 // NewServer returns a server that knows itself only.
-func NewServer(cfg ServerConfig, now time.Time) *Server {
+func NewServer(cfg ServerConfig) *Server {
+	now := cfg.Started
 	s := &Server{cfg: cfg, table: NewTable(), subscribers: map[netip.Addr]*subscriber{}, expireAt: now.Add(expireInterval)}
 	s.table.Put(now, &cfg.Self)
 	return s
@@ -64,6 +68,7 @@
 // Ask takes the record of a process and returns the answers to it and, if the
 // record was new, those for all subscribers.
 func (s *Server) Ask(now time.Time, a *Ask) []Send {
+	s.review(now)
 	changed := s.table.Put(now, &a.Self)
 	from := a.Position
 	if a.Epoch != s.cfg.Epoch {
@@ -95,6 +100,33 @@
 	return sends
 }
 
+// Merge takes over what another control process has told. complete says that it
+// has told a complete table.
+func (s *Server) Merge(now time.Time, a *Answer, complete bool) []Send {
+	s.complete = s.complete || complete
+	changed := false
+	for i := range a.Records {
+		if s.table.Add(now, &a.Records[i]) {
+			changed = true
+		}
+	}
+	if !changed {
+		return nil
+	}
+	return s.Changes(now)
+}
+
+// review declares the table complete when every process must have asked once.
+// Processes ask the control processes in turn.
+func (s *Server) review(now time.Time) {
+	if s.complete {
+		return
+	}
+	controls := 0
+	s.table.Entries(vm.RoleControl, func(*Entry) { controls++ })
+	s.complete = now.Sub(s.cfg.Started) > askInterval*time.Duration(controls+1)
+}
+
 // Changes returns what subscribers do not have yet.
 func (s *Server) Changes(now time.Time) []Send {
 	var sends []Send
@@ -129,6 +161,7 @@
 		return nil
 	}
 	s.expireAt = now.Add(expireInterval)
+	s.review(now)
 	s.cfg.Self.Revision++
 	s.table.Put(now, &s.cfg.Self)
 	s.table.Expire(now)
@@ -153,6 +186,7 @@
 		changed = changed[maxAnswerRecords:]
 		end := part[len(part)-1].position
 		sends = append(sends, Send{Role: role, To: to, Answer: s.fill(part, from, end)})
+		sends[len(sends)-1].Answer.Complete = false
 		from = end
 	}
 	return append(sends, Send{Role: role, To: to, Answer: s.fill(changed, from, s.table.position)})
@@ -167,7 +201,7 @@
 }
 
 func (s *Server) plain(from, to uint64) *Answer {
-	a := &Answer{Epoch: s.cfg.Epoch, From: from, To: to, Leader: s.Leader, Version: s.Version}
+	a := &Answer{Epoch: s.cfg.Epoch, From: from, To: to, Leader: s.Leader, Version: s.Version, Complete: s.complete}
 	s.table.Entries(vm.RoleControl, func(e *Entry) { a.Controls = append(a.Controls, e.Address) })
 	slices.SortFunc(a.Controls, netip.Addr.Compare)
 	return a
--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -237,7 +237,7 @@
 		a.toCaller(action, a.Codec.AppendReset(buffer[:0], action.Flow, action.Sequence))
 	case steering.Tell:
 		a.lost(a.link.send(action.To, a.cfg.NodePort, kindSteering, &action.Message))
-	case steering.Drop, steering.Forward:
+	case steering.Drop, steering.Wait, steering.Forward:
 	}
 }
 
--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -165,7 +165,7 @@
 		b.lost(err)
 	case steering.Tell:
 		b.lost(b.link.send(a.To, b.cfg.NodePort, kindSteering, &a.Message))
-	case steering.Drop, steering.Deliver, steering.Reply:
+	case steering.Drop, steering.Wait, steering.Deliver, steering.Reply:
 	}
 }
 
@@ -209,8 +209,9 @@
 	if news.Joined {
 		b.joined = now
 	}
-	if news.Changed {
-		b.core.SetUpstreams(upstreams(b.client.Upstreams()))
+	if news.Changed || news.Completed {
+		b.core.SetUpstreams(upstreams(b.client.Upstreams()), b.client.Complete())
+		b.decide(func() { b.core.Resume(now, &b.actions) })
 	}
 	b.plan(now)
 }
@@ -240,6 +241,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.core.SetDesired(d) {
+		now := time.Now()
+		b.decide(func() { b.core.Resume(now, &b.actions) })
+		b.plan(now)
 		b.tookVersion(d.Version)
 		b.Log.WithFields(logrus.Fields{"version": d.Version, "routes": len(d.Routes), "control": from}).Info("desired state in force")
 	}
--- a/internal/fabric/control.go
+++ b/internal/fabric/control.go
@@ -52,14 +52,16 @@
 
 // NewControl opens the link. Run must be called to serve.
 func NewControl(cfg Config, env Environment) (*Control, error) {
-	n, err := newNode(cfg, env, vm.RoleControl, cfg.ControlPort, false)
+	n, err := newNode(cfg, env, vm.RoleControl, cfg.ControlPort, true)
 	if err != nil {
 		return nil, err
 	}
 	now := time.Now()
 	self := n.client.Self()
 	self.Status = view.Ready
-	c := &Control{node: n, server: directory.NewServer(directory.ServerConfig{Epoch: newRandom().Uint64(), Self: self}, now)}
+	c := &Control{node: n, server: directory.NewServer(directory.ServerConfig{
+		Epoch: newRandom().Uint64(), Self: self, Started: now,
+	})}
 	n.due = func(now time.Time) {
 		c.sendAnswers(c.server.Tick(now))
 		c.updateContacts()
@@ -207,6 +209,9 @@
 	now := time.Now()
 	a.Version = 0
 	c.answered(now, from, a)
+	if from != c.cfg.Address {
+		c.sendAnswers(c.server.Merge(now, a, c.client.Complete()))
+	}
 	if !c.votes() {
 		c.server.Leader = c.client.Leader()
 	}
--- a/internal/fabric/outcomes.go
+++ b/internal/fabric/outcomes.go
@@ -9,7 +9,7 @@
 // eventNames are the names of actions in log lines and counters.
 var eventNames = [...]string{
 	steering.Forward: "forward", steering.Deliver: "deliver", steering.Reply: "reply",
-	steering.Reset: "reset", steering.Tell: "tell", steering.Drop: "drop",
+	steering.Reset: "reset", steering.Tell: "tell", steering.Wait: "wait", steering.Drop: "drop",
 }
 
 // outcomes counts actions by kind and reason. Looking a counter up in the
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -22,6 +22,10 @@
 	openingLifetime = 1400 * time.Millisecond
 	// locateTimeout is how long agents may take to answer a question.
 	locateTimeout = 60 * time.Millisecond
+	// missPause lies between two searches for a flow that nobody seems to hold.
+	// Meanwhile a balancer learns of an upstream that it did not know; it is
+	// shorter than the first retransmission interval (200 ms).
+	missPause = 150 * time.Millisecond
 	// maxHeldPackets bounds the packets that wait for an answer: a window.
 	maxHeldPackets = 16
 	// idleReserve is added to the idle timeout of flows, so that a balancer
@@ -48,6 +52,10 @@
 	settled
 	// locating: the agents were asked for the holder.
 	locating
+	// waiting: the opening waits for a desired state or an upstream.
+	waiting
+	// missing: a search has found no holder.
+	missing
 	// trying: packets go to an agent that is unsure whether it holds the flow.
 	trying
 )
@@ -71,6 +79,8 @@
 	search    *search
 	held      [][]byte
 	ack       uint32
+	// missedAt is when the first of two searches found no holder.
+	missedAt time.Time
 }
 
 // offer is an upstream that has answered the opening.
@@ -98,6 +108,8 @@
 	// due holds what times out, in the order in which it was planned.
 	due     []timer
 	sweepAt time.Time
+	// complete is set when the directory has told all upstreams.
+	complete bool
 }
 
 type timer struct {
@@ -179,6 +191,16 @@
 		b.forward(e, Known, data, out)
 	case locating:
 		b.hold(e, data, out)
+	case missing:
+		if now.Sub(e.missedAt) >= missPause {
+			b.locate(now, e, p, data, out)
+			return
+		}
+		*out = append(*out, Action{Kind: Drop, Reason: NotHeld, Flow: e.key})
+	case waiting:
+		// The caller holds the answer of an upstream that got an earlier copy
+		// of the opening through another balancer.
+		b.locate(now, e, p, data, out)
 	}
 }
 
@@ -311,9 +333,11 @@
 	switch e.state {
 	case opening:
 		b.unanswered(now, e, out)
+	case waiting:
+		b.tryAgain(now, e, out)
 	case locating:
 		b.searchEnded(now, e, out)
-	case trying, settled:
+	case trying, settled, missing:
 	}
 }
 
@@ -324,7 +348,8 @@
 	}
 	for key, e := range b.flows {
 		idle := now.Sub(e.seenAt)
-		if idle > limit || (e.finished && idle > finishedLifetime) || (e.state == opening && idle > openingLifetime) {
+		half := e.state == opening || e.state == waiting
+		if idle > limit || (e.finished && idle > finishedLifetime) || (half && idle > openingLifetime) {
 			delete(b.flows, key)
 		}
 	}
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -62,6 +62,8 @@
 	Reset
 	// Tell sends Message to the process at To.
 	Tell
+	// Wait: the balancer keeps an opening until it can be placed.
+	Wait
 	// Drop the packet.
 	Drop
 )
@@ -81,11 +83,13 @@
 	RouteRemoved    Reason = "route_removed"
 	NoUpstream      Reason = "no_upstream"
 	NoneAnswered    Reason = "none_answered"
+	NoDesired       Reason = "no_desired_state"
 	NotReady        Reason = "not_ready"
 	NotHeld         Reason = "not_held"
 	HoldFull        Reason = "hold_full"
 	WrongService    Reason = "wrong_service"
 	UpstreamReplied Reason = "upstream_replied"
+	NobodyHolds     Reason = "nobody_holds"
 	UpstreamLost    Reason = "upstream_lost"
 	NotOurs         Reason = "not_ours"
 )
--- a/internal/steering/placement.go
+++ b/internal/steering/placement.go
@@ -28,6 +28,8 @@
 	// and three tries of the least loaded find a free slot nearly always if
 	// there is one.
 	maxTries = 3
+	// waitInterval is how often an opening without an upstream is tried again.
+	waitInterval = 100 * time.Millisecond
 	// avoidTime is how long an upstream that could not take an opening gets no
 	// other one, unless there is no choice.
 	avoidTime = 500 * time.Millisecond
@@ -77,7 +79,9 @@
 
 // SetUpstreams replaces the known upstreams. What was seen of those that stay
 // is kept.
-func (b *Balancer) SetUpstreams(list []Upstream) {
+// complete says that the list has all upstreams that are running.
+func (b *Balancer) SetUpstreams(list []Upstream, complete bool) {
+	b.complete = b.complete || complete
 	targets := make(map[netip.Addr]*target, len(list))
 	b.members = map[service.Name][]*target{}
 	for _, u := range list {
@@ -112,7 +116,10 @@
 		b.forward(e, Repeated, data, out)
 		return
 	}
-	if route == nil {
+	if e != nil && e.sequence == p.Sequence && e.state == waiting {
+		return
+	}
+	if route == nil && b.desired != nil {
 		b.reset(p, NoRoute, out)
 		return
 	}
@@ -124,13 +131,19 @@
 // place sends an opening to the best upstream that has not had it yet.
 func (b *Balancer) place(now time.Time, e *entry, reason Reason, out *[]Action) {
 	route := b.routes[e.key.Virtual]
+	if b.desired == nil {
+		e.state = waiting
+		b.plan(e, now.Add(waitInterval))
+		*out = append(*out, Action{Kind: Wait, Reason: NoDesired, Flow: e.key})
+		return
+	}
 	if route == nil {
 		b.refuse(e, NoRoute, out)
 		return
 	}
 	best, more := b.choose(now, e, route)
 	if best == nil {
-		b.exhausted(now, e, out)
+		b.exhausted(now, e, route, out)
 		return
 	}
 	best.placed++
@@ -208,15 +221,53 @@
 	return ""
 }
 
-// exhausted decides about an opening that no upstream has taken so far.
-func (b *Balancer) exhausted(now time.Time, e *entry, out *[]Action) {
-	if len(e.tried) == 0 || now.Sub(e.startedAt) >= openingLifetime-openingTimeout {
+// exhausted decides about an opening that no upstream has taken so far. It
+// waits if that may change before the caller gives up, and is refused if not.
+func (b *Balancer) exhausted(now time.Time, e *entry, route *intent.Route, out *[]Action) {
+	if b.hopeless(e, route) || now.Sub(e.startedAt) >= openingLifetime-openingTimeout {
 		b.refuse(e, NoUpstream, out)
 		return
 	}
-	// The caller sends copies, which are placed again.
-	delete(b.flows, e.key)
-	*out = append(*out, Action{Kind: Drop, Reason: NoneAnswered, Flow: e.key})
+	e.state, e.target, e.tried = waiting, nil, nil
+	b.plan(e, now.Add(waitInterval))
+	*out = append(*out, Action{Kind: Wait, Reason: NoneAnswered, Flow: e.key})
+}
+
+// hopeless reports whether no upstream of the service can take the opening
+// soon: all upstreams are known, and none is ready, starting or suspected.
+func (b *Balancer) hopeless(e *entry, route *intent.Route) bool {
+	if !b.complete {
+		return false
+	}
+	for _, t := range b.members[b.share(e, route)] {
+		if t.Status != view.Left && t.Status != view.Leaving && t.Status != view.Failed {
+			return false
+		}
+	}
+	return true
+}
+
+// tryAgain places an opening that has waited.
+func (b *Balancer) tryAgain(now time.Time, e *entry, out *[]Action) {
+	if b.desired == nil {
+		if now.Sub(e.startedAt) >= openingLifetime {
+			delete(b.flows, e.key)
+			return
+		}
+		b.plan(e, now.Add(waitInterval))
+		return
+	}
+	b.place(now, e, PlacedAgain, out)
+}
+
+// Resume places the openings that wait, after a change of the desired state or
+// of the upstreams.
+func (b *Balancer) Resume(now time.Time, out *[]Action) {
+	for _, e := range b.flows {
+		if e.state == waiting {
+			b.tryAgain(now, e, out)
+		}
+	}
 }
 
 // refuse tells the caller that its request has not run.
--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bramleyhold.example/bramleyhold/internal/flow"
+	"bramleyhold.example/bramleyhold/internal/view"
 )
 
 // splitHasher spreads flows over the services of a split. It needs no secret:
@@ -19,7 +20,7 @@
 		b.hold(e, data, out)
 	}
 	for _, t := range b.targets {
-		if !t.Reachable() {
+		if t.Status == view.Left {
 			continue
 		}
 		e.search.waiting++
@@ -55,7 +56,7 @@
 
 // settle sends what has waited to the holder.
 func (b *Balancer) settle(e *entry, t *target, reason Reason, out *[]Action) {
-	e.state, e.target, e.search, e.deadline = settled, t, nil, time.Time{}
+	e.state, e.target, e.search, e.deadline, e.missedAt = settled, t, nil, time.Time{}, time.Time{}
 	b.release(e, reason, out)
 }
 
@@ -66,22 +67,40 @@
 	e.held = nil
 }
 
-// searchEnded tries the agents that are unsure one after the other. A flow that
-// nobody holds is forgotten; its next packet starts a new search.
+// searchEnded tries the agents that are unsure one after the other. If then
+// nobody holds the flow, notHeld decides.
 func (b *Balancer) searchEnded(now time.Time, e *entry, out *[]Action) {
 	if len(e.search.unsure) == 0 {
-		delete(b.flows, e.key)
-		*out = append(*out, Action{Kind: Drop, Reason: NotHeld, Flow: e.key})
+		b.notHeld(now, e, out)
 		return
 	}
 	e.target = e.search.unsure[0]
 	e.search.unsure = e.search.unsure[1:]
-	e.state, e.deadline, e.startedAt = trying, time.Time{}, now
+	e.state, e.deadline = trying, time.Time{}
+	e.startedAt = now
 	for _, data := range e.held {
 		b.forward(e, Tried, data, out)
 	}
 }
 
+// notHeld ends a search without a holder. The caller is told only after a second
+// search has ended like this, and if every upstream has answered both times.
+func (b *Balancer) notHeld(now time.Time, e *entry, out *[]Action) {
+	certain := b.complete && e.search.waiting == 0 && !e.finished
+	e.held, e.search, e.target = nil, nil, nil
+	switch {
+	case !certain:
+		delete(b.flows, e.key)
+	case e.missedAt.IsZero():
+		e.state, e.missedAt, e.deadline = missing, now, time.Time{}
+	default:
+		delete(b.flows, e.key)
+		*out = append(*out, Action{Kind: Reset, Reason: NobodyHolds, Flow: e.key, Sequence: e.ack})
+		return
+	}
+	*out = append(*out, Action{Kind: Drop, Reason: NotHeld, Flow: e.key})
+}
+
 // notFound deals with a packet that the chosen upstream does not hold.
 func (b *Balancer) notFound(now time.Time, e *entry, t *target, m *Message, out *[]Action) {
 	if e.target != t {
@@ -92,6 +111,6 @@
 		b.searchEnded(now, e, out)
 	case settled:
 		b.locate(now, e, &Packet{Flow: e.key, Ack: m.Ack}, nil, out)
-	case opening, locating:
+	case opening, waiting, locating, missing:
 	}
 }
