steering: admission by expected wait; unsure agents are tried at once; requests counted by stage

Cause: when all callers return after a loss of power, upstreams queued every opening and answered late; a handshake in progress counted as a busy slot, so that openings were returned beside free slots; dead flows were searched one agent at a time. Change: an opening beyond the slots is taken only if its answer can be in time; expected requests count half; searches try unsure agents in parallel, and agents remember what their upstream has denied.

--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -24,6 +24,18 @@
 	// doubtLifetime is how long the origin of a packet of an unknown flow is
 	// remembered. The upstream returns such a packet at once.
 	doubtLifetime = time.Second
+	// denialLifetime is how long an agent remembers that its upstream has
+	// returned a packet of a flow: over the retransmissions of the caller.
+	denialLifetime = 5 * time.Second
+	// maxDenials bounds what is remembered of them.
+	maxDenials = 5_000
+	// workTimeout is after which time without packets a request no longer
+	// counts as in progress: its caller has given up, or its answer was lost.
+	// Upstreams work for less than half a second.
+	workTimeout = time.Second
+	// workCheck is how often such requests are looked for while all slots seem
+	// to be in use.
+	workCheck = 100 * time.Millisecond
 	// closedLifetime keeps a flow after both ends have finished, for late
 	// retransmissions (at most 1.6 s apart).
 	closedLifetime = 5 * time.Second
@@ -71,13 +83,31 @@
 	silentUntil time.Time
 	flows       map[flow.Key]*held
 	doubts      map[flow.Key]doubt
+	// denials holds when the upstream returned a packet of a flow.
+	denials     map[flow.Key]time.Time
+	workCheckAt time.Time
 	// unanswered holds the openings without an answer in the order of their
 	// delivery.
 	unanswered []unanswered
-	busy       int
-	sweepAt    time.Time
+	// stages counts the flows in each stage.
+	stages  [stageCount]int
+	service serviceTime
+	sweepAt time.Time
 }
 
+// stage says whether a flow carries a request.
+type stage uint8
+
+const (
+	// quiet: no request is in progress.
+	quiet stage = iota
+	// expected: the flow is new and its first request has not arrived.
+	expected
+	// running: the upstream works on a request, or it waits there.
+	running
+	stageCount
+)
+
 // held is a flow of the upstream.
 type held struct {
 	incarnation vm.Incarnation
@@ -86,10 +116,12 @@
 	opening, answer uint32
 	answered        bool
 	open            bool
-	busy            bool
-	// requested is set by the first payload of the caller.
-	requested      bool
-	callerFinished bool
+	stage           stage
+	callerFinished  bool
+	// requestAt is when the last request began; measured is set if a slot was
+	// free then.
+	requestAt time.Time
+	measured  bool
 	// lost: the upstream has returned a packet of the flow.
 	lost     bool
 	finished bool
@@ -110,14 +142,14 @@
 
 // NewAgent returns an agent that has not heard from its upstream.
 func NewAgent(cfg AgentConfig) *Agent {
-	return &Agent{cfg: cfg, tag: ServiceTag(cfg.Service), flows: map[flow.Key]*held{}, doubts: map[flow.Key]doubt{}}
+	return &Agent{cfg: cfg, tag: ServiceTag(cfg.Service), flows: map[flow.Key]*held{}, doubts: map[flow.Key]doubt{}, denials: map[flow.Key]time.Time{}}
 }
 
 // Upstream returns the last announcement and whether there was one.
 func (a *Agent) Upstream() (Announcement, bool) { return a.upstream, a.known }
 
 // Load returns the requests in progress and the flows.
-func (a *Agent) Load() (busy, flows int) { return a.busy, len(a.flows) }
+func (a *Agent) Load() (busy, flows int) { return a.busy(), len(a.flows) }
 
 // Announce takes an announcement of the upstream. It reports whether it changed
 // what others have to know. Announcements of an earlier incarnation, or older
@@ -166,37 +198,37 @@
 		f.open = true
 	}
 	f.origin, f.seenAt = origin, now
-	a.track(f, p)
+	a.track(now, f, p)
 	*out = append(*out, Action{Kind: Deliver, Reason: Known, Flow: p.Flow, Data: data})
 }
 
 // track notes what a packet of the caller does to the flow.
-func (a *Agent) track(f *held, p *Packet) {
+func (a *Agent) track(now time.Time, f *held, p *Packet) {
 	switch {
 	case p.Flags.Has(RST):
-		a.setBusy(f, false)
+		a.setStage(f, quiet)
 		f.finished = true
-	case p.Payload > 0:
-		f.requested = true
-		a.setBusy(f, true)
+	case p.Payload > 0 && f.stage != running:
+		f.requestAt, f.measured = now, a.stages[running] < a.upstream.Slots
+		a.setStage(f, running)
 	}
 	if p.Flags.Has(FIN) {
 		f.callerFinished = true
 	}
 }
 
-func (a *Agent) setBusy(f *held, busy bool) {
-	if f.busy == busy {
-		return
-	}
-	f.busy = busy
-	if busy {
-		a.busy++
-	} else {
-		a.busy--
-	}
+// setStage moves a flow between the counts of expected and running requests.
+func (a *Agent) setStage(f *held, s stage) {
+	a.stages[f.stage]--
+	a.stages[s]++
+	f.stage = s
 }
 
+// busy returns how many requests the upstream has in progress. Those that are
+// expected on new flows count half: they arrive after a round trip, in which as
+// many of the running ones end.
+func (a *Agent) busy() int { return a.stages[running] + a.stages[expected]/2 }
+
 // opening decides about a packet that asks for a new flow.
 func (a *Agent) opening(now time.Time, p *Packet, f *held, mark Mark, origin netip.Addr, data []byte, out *[]Action) {
 	if f != nil && f.opening == p.Sequence && f.incarnation == a.upstream.Incarnation {
@@ -204,6 +236,11 @@
 		*out = append(*out, Action{Kind: Deliver, Reason: Repeated, Flow: p.Flow, Data: data})
 		return
 	}
+	delete(a.denials, p.Flow)
+	if a.busy() >= a.upstream.Slots && !now.Before(a.workCheckAt) {
+		a.workCheckAt = now.Add(workCheck)
+		a.dropStaleWork(now)
+	}
 	if verdict := a.refusal(now, mark); verdict != 0 {
 		a.reject(p, origin, verdict, out)
 		return
@@ -212,7 +249,8 @@
 		a.forget(p.Flow, f)
 	}
 	f = &held{incarnation: a.upstream.Incarnation, origin: origin, opening: p.Sequence, openedAt: now, seenAt: now}
-	a.setBusy(f, true)
+	a.stages[quiet]++
+	a.setStage(f, expected)
 	a.flows[p.Flow] = f
 	a.unanswered = append(a.unanswered, unanswered{key: p.Flow, opening: p.Sequence, at: now})
 	a.planSweep(now)
@@ -230,8 +268,10 @@
 		return Silent
 	case len(a.flows) >= a.cfg.MaxFlows:
 		return Refused
-	case !mark.Last && a.busy >= a.upstream.Slots:
+	case !mark.Last && a.busy() >= a.upstream.Slots:
 		return Busy
+	case !a.service.admits(a.busy(), a.upstream.Slots, mark.Patience):
+		return Overloaded
 	}
 	return 0
 }
@@ -247,7 +287,7 @@
 // unknown hands a packet of an unknown flow to the upstream, which returns it
 // if it does not hold the flow either.
 func (a *Agent) unknown(now time.Time, p *Packet, origin netip.Addr, data []byte, out *[]Action) {
-	if a.certain(now) {
+	if a.denies(now, p.Flow) {
 		a.tell(origin, Message{Kind: NotFound, Flow: p.Flow, Ack: p.Ack}, NotHeld, out)
 		return
 	}
@@ -265,15 +305,21 @@
 	return a.sawStart
 }
 
+// denies reports whether the upstream certainly does not hold an unknown flow.
+func (a *Agent) denies(now time.Time, key flow.Key) bool {
+	at, denied := a.denials[key]
+	return (denied && now.Sub(at) < denialLifetime) || a.certain(now)
+}
+
 // FromUpstream decides about a packet that the upstream sent or returned.
 func (a *Agent) FromUpstream(now time.Time, p *Packet, data []byte, out *[]Action) {
 	if p.Flags.Has(Returned) {
-		a.returned(p, out)
+		a.returned(now, p, out)
 		return
 	}
 	f := a.flows[p.Flow]
 	if f == nil {
-		f = a.adopt(now, p)
+		f = a.adopt(now, p, out)
 	}
 	if f != nil {
 		a.replied(now, f, p, out)
@@ -282,14 +328,20 @@
 }
 
 // adopt takes up a flow of an earlier life of this agent.
-func (a *Agent) adopt(now time.Time, p *Packet) *held {
+func (a *Agent) adopt(now time.Time, p *Packet, out *[]Action) *held {
+	d, doubted := a.doubts[p.Flow]
 	delete(a.doubts, p.Flow)
 	if p.Flags.Has(RST) || p.Flags.Has(SYN) || len(a.flows) >= a.cfg.MaxFlows {
 		return nil
 	}
-	f := &held{incarnation: a.upstream.Incarnation, answered: true, open: true, requested: true, openedAt: now, seenAt: now}
+	f := &held{incarnation: a.upstream.Incarnation, answered: true, open: true, openedAt: now, seenAt: now}
 	a.flows[p.Flow] = f
+	a.stages[quiet]++
 	a.planSweep(now)
+	if doubted {
+		f.origin = d.origin
+		a.tell(d.origin, Message{Kind: Located, Verdict: Holds, Flow: p.Flow}, Known, out)
+	}
 	return f
 }
 
@@ -300,8 +352,12 @@
 		f.answered, f.answer = true, p.Sequence
 		a.tell(f.origin, Message{Kind: Accepted, Flow: p.Flow, Sequence: p.Sequence}, UpstreamReplied, out)
 	}
+	if p.Payload > 0 && f.stage == running && f.measured {
+		a.service.note(now.Sub(f.requestAt))
+	}
 	if p.Payload > 0 || p.Flags&(FIN|RST) != 0 {
-		a.setBusy(f, false)
+		f.measured = false
+		a.setStage(f, quiet)
 	}
 	if p.Flags.Has(RST) || (p.Flags.Has(FIN) && f.callerFinished) {
 		f.finished = true
@@ -309,7 +365,7 @@
 }
 
 // returned deals with a packet that the upstream does not take.
-func (a *Agent) returned(p *Packet, out *[]Action) {
+func (a *Agent) returned(now time.Time, p *Packet, out *[]Action) {
 	f := a.flows[p.Flow]
 	if p.Opens() {
 		if f == nil || f.opening != p.Sequence || f.answered {
@@ -322,7 +378,7 @@
 		return
 	}
 	if f != nil {
-		a.setBusy(f, false)
+		a.setStage(f, quiet)
 		if f.incarnation < a.upstream.Incarnation {
 			// The process that held the flow has ended.
 			*out = append(*out, Action{Kind: Reset, Reason: UpstreamLost, Flow: p.Flow, Sequence: p.Ack})
@@ -333,6 +389,9 @@
 		a.tell(f.origin, Message{Kind: NotFound, Flow: p.Flow, Ack: p.Ack}, NotHeld, out)
 		return
 	}
+	if len(a.denials) < maxDenials {
+		a.denials[p.Flow] = now
+	}
 	d, ok := a.doubts[p.Flow]
 	if !ok {
 		*out = append(*out, Action{Kind: Drop, Reason: NotHeld, Flow: p.Flow})
@@ -353,14 +412,14 @@
 	case f != nil && !f.lost && (f.open || (f.answered && m.Ack-f.answer <= ackWindow)):
 		answer.Verdict = Holds
 		f.origin = from
-	case f == nil && !a.certain(now):
+	case f == nil && !a.denies(now, m.Flow):
 		answer.Verdict = Unsure
 	}
 	a.tell(from, answer, Known, out)
 }
 
 func (a *Agent) tell(to netip.Addr, m Message, reason Reason, out *[]Action) {
-	m.Load, m.Flows = uint16(min(a.busy, 1<<16-1)), uint16(min(len(a.flows), 1<<16-1))
+	m.Load, m.Flows = uint16(min(a.busy(), 1<<16-1)), uint16(min(len(a.flows), 1<<16-1))
 	*out = append(*out, Action{Kind: Tell, Reason: reason, Flow: m.Flow, To: to, Message: m})
 }
 
@@ -411,12 +470,25 @@
 	}
 }
 
+// dropStaleWork no longer counts requests that show no sign of life.
+func (a *Agent) dropStaleWork(now time.Time) {
+	for _, f := range a.flows {
+		idle := now.Sub(f.seenAt)
+		if (f.stage == running && idle > workTimeout) || (f.stage == expected && idle > requestWait) {
+			a.setStage(f, quiet)
+		}
+	}
+}
+
 func (a *Agent) sweep(now time.Time) {
+	a.dropStaleWork(now)
+	for key, at := range a.denials {
+		if now.Sub(at) >= denialLifetime {
+			delete(a.denials, key)
+		}
+	}
 	for key, f := range a.flows {
 		idle := now.Sub(f.seenAt)
-		if f.busy && !f.requested && idle > requestWait {
-			a.setBusy(f, false)
-		}
 		if idle > a.cfg.IdleTimeout || (f.finished && idle > closedLifetime) {
 			a.forget(key, f)
 		}
@@ -427,12 +499,12 @@
 		}
 	}
 	a.sweepAt = time.Time{}
-	if len(a.flows) > 0 || len(a.doubts) > 0 {
+	if len(a.flows) > 0 || len(a.doubts) > 0 || len(a.denials) > 0 {
 		a.planSweep(now)
 	}
 }
 
 func (a *Agent) forget(key flow.Key, f *held) {
-	a.setBusy(f, false)
+	a.stages[f.stage]--
 	delete(a.flows, key)
 }
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -20,8 +20,9 @@
 	// openingLifetime is when a caller gives an opening up: 800 ms after its
 	// last copy, which is sent after 600 ms.
 	openingLifetime = 1400 * time.Millisecond
-	// locateTimeout is how long agents may take to answer a question.
-	locateTimeout = 60 * time.Millisecond
+	// locateTimeout is how long agents may take to answer a question, below the
+	// first retransmission interval (200 ms).
+	locateTimeout = 150 * time.Millisecond
 	// missPause lies between two searches for a flow that nobody seems to hold.
 	// Meanwhile a balancer learns of an upstream that it did not know; it is
 	// shorter than the first retransmission interval (200 ms).
@@ -56,7 +57,8 @@
 	waiting
 	// missing: a search has found no holder.
 	missing
-	// trying: packets go to an agent that is unsure whether it holds the flow.
+	// trying: a packet went to all agents that are unsure whether they hold the
+	// flow.
 	trying
 )
 
@@ -71,14 +73,18 @@
 	first    []byte
 	tried    []netip.Addr
 	offers   []offer
+	// callerAge is how long the caller had waited when the opening arrived.
+	callerAge time.Duration
 	// startedAt is when the opening arrived, deadline when a step times out.
 	startedAt time.Time
 	deadline  time.Time
 	seenAt    time.Time
 	finished  bool
-	search    *search
-	held      [][]byte
-	ack       uint32
+	// reset: the caller has ended the flow by a reset.
+	reset  bool
+	search *search
+	held   [][]byte
+	ack    uint32
 	// missedAt is when the first of two searches found no holder.
 	missedAt time.Time
 }
@@ -174,6 +180,9 @@
 		return
 	}
 	e.seenAt = now
+	if p.Flags.Has(RST) {
+		e.reset = true
+	}
 	if p.Flags&(FIN|RST) != 0 {
 		e.finished = true
 	}
@@ -181,15 +190,9 @@
 	case opening:
 		b.confirm(e, p)
 		b.forward(e, Known, data, out)
-	case trying:
-		if now.Sub(e.startedAt) > doubtLifetime {
-			// The agent would have answered that its upstream lacks the flow.
-			e.state, e.held, e.search = settled, nil, nil
-		}
-		b.forward(e, Known, data, out)
 	case settled:
 		b.forward(e, Known, data, out)
-	case locating:
+	case locating, trying:
 		b.hold(e, data, out)
 	case missing:
 		if now.Sub(e.missedAt) >= missPause {
@@ -337,7 +340,9 @@
 		b.tryAgain(now, e, out)
 	case locating:
 		b.searchEnded(now, e, out)
-	case trying, settled, missing:
+	case trying:
+		b.trialEnded(now, e, out)
+	case settled, missing:
 	}
 }
 
--- a/internal/steering/message.go
+++ b/internal/steering/message.go
@@ -44,6 +44,8 @@
 const (
 	// Busy: all slots are in use.
 	Busy Verdict = iota + 1
+	// Overloaded: the answer would come too late.
+	Overloaded
 	// Leaving: the upstream is about to stop.
 	Leaving
 	// Unready: the agent does not know yet whether its upstream takes work.
@@ -62,7 +64,7 @@
 )
 
 var verdictNames = [...]string{
-	Busy: "busy", Leaving: "leaving", Unready: "unready", Silent: "silent", Refused: "refused", Foreign: "foreign",
+	Busy: "busy", Overloaded: "overloaded", Leaving: "leaving", Unready: "unready", Silent: "silent", Refused: "refused", Foreign: "foreign",
 	Holds: "holds", HoldsNot: "holds_not", Unsure: "unsure",
 }
 
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -45,6 +45,9 @@
 	Service uint16
 	// Last says that no other upstream is left to try.
 	Last bool
+	// Patience is how long the caller can wait for its answer and still be
+	// served within the objective of its route.
+	Patience time.Duration
 }
 
 // ActionKind says what to do.
@@ -82,6 +85,7 @@
 	NoRoute         Reason = "no_route"
 	RouteRemoved    Reason = "route_removed"
 	NoUpstream      Reason = "no_upstream"
+	TooBusy         Reason = "overloaded"
 	NoneAnswered    Reason = "none_answered"
 	NoDesired       Reason = "no_desired_state"
 	NotReady        Reason = "not_ready"
--- a/internal/steering/placement.go
+++ b/internal/steering/placement.go
@@ -125,6 +125,7 @@
 	}
 	e = b.add(now, p.Flow)
 	e.sequence, e.first = p.Sequence, slices.Clone(data)
+	e.callerAge = copyAge(p)
 	b.place(now, e, Placed, out)
 }
 
@@ -152,7 +153,7 @@
 	b.plan(e, now.Add(openingTimeout))
 	*out = append(*out, Action{
 		Kind: Forward, Reason: reason, Flow: e.key, To: best.Address.Addr(), Data: e.first,
-		Mark:   Mark{Service: best.tag, Last: !more},
+		Mark:   Mark{Service: best.tag, Last: !more, Patience: route.Objective - e.age(now)},
 		Choice: Choice{Load: best.load + best.placed, Slots: best.Slots, Age: now.Sub(best.reportedAt), Try: len(e.tried)},
 	})
 }
@@ -221,6 +222,18 @@
 	return ""
 }
 
+// copyTimes are when a caller sends the copies of an opening. Its
+// acknowledgement number counts them.
+var copyTimes = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
+// copyAge returns how long before a copy the caller sent its opening.
+func copyAge(p *Packet) time.Duration {
+	return copyTimes[min(int(p.Ack), len(copyTimes)-1)]
+}
+
+// age returns how long the caller has waited.
+func (e *entry) age(now time.Time) time.Duration { return e.callerAge + now.Sub(e.startedAt) }
+
 // exhausted decides about an opening that no upstream has taken so far. It
 // waits if that may change before the caller gives up, and is refused if not.
 func (b *Balancer) exhausted(now time.Time, e *entry, route *intent.Route, out *[]Action) {
@@ -290,9 +303,14 @@
 	case Leaving, Foreign, Unready, Silent:
 		t.avoidUntil = now.Add(avoidTime)
 	}
-	if e.state == opening && e.target == t && e.sequence == m.Sequence && len(e.offers) == 0 {
-		b.place(now, e, PlacedAgain, out)
+	if e.state != opening || e.target != t || e.sequence != m.Sequence || len(e.offers) > 0 {
+		return
+	}
+	if m.Verdict == Overloaded {
+		b.refuse(e, TooBusy, out)
+		return
 	}
+	b.place(now, e, PlacedAgain, out)
 }
 
 // unanswered tries another upstream if an agent has not answered an opening.
--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"slices"
 	"time"
 
 	"bramleyhold.example/bramleyhold/internal/flow"
@@ -56,6 +57,10 @@
 
 // settle sends what has waited to the holder.
 func (b *Balancer) settle(e *entry, t *target, reason Reason, out *[]Action) {
+	if e.state == trying {
+		// The holder has had the first one.
+		e.held = e.held[1:]
+	}
 	e.state, e.target, e.search, e.deadline, e.missedAt = settled, t, nil, time.Time{}, time.Time{}
 	b.release(e, reason, out)
 }
@@ -67,26 +72,37 @@
 	e.held = nil
 }
 
-// searchEnded tries the agents that are unsure one after the other. If then
-// nobody holds the flow, notHeld decides.
+// searchEnded tries the agents that are unsure: each gets the first packet that
+// waits, and its upstream returns it unless it holds the flow. Without such
+// agents notHeld decides.
 func (b *Balancer) searchEnded(now time.Time, e *entry, out *[]Action) {
-	if len(e.search.unsure) == 0 {
+	if len(e.search.unsure) == 0 || len(e.held) == 0 {
 		b.notHeld(now, e, out)
 		return
 	}
-	e.target = e.search.unsure[0]
-	e.search.unsure = e.search.unsure[1:]
-	e.state, e.deadline = trying, time.Time{}
-	e.startedAt = now
-	for _, data := range e.held {
-		b.forward(e, Tried, data, out)
+	e.state = trying
+	b.plan(e, now.Add(locateTimeout))
+	for _, t := range e.search.unsure {
+		*out = append(*out, Action{
+			Kind: Forward, Reason: Tried, Flow: e.key, To: t.Address.Addr(), Data: e.held[0], Mark: Mark{Service: t.tag},
+		})
 	}
 }
 
+// trialEnded settles on the agent that has not denied the flow, if it is the
+// only one.
+func (b *Balancer) trialEnded(now time.Time, e *entry, out *[]Action) {
+	if len(e.search.unsure) != 1 {
+		b.notHeld(now, e, out)
+		return
+	}
+	b.settle(e, e.search.unsure[0], Found, out)
+}
+
 // notHeld ends a search without a holder. The caller is told only after a second
 // search has ended like this, and if every upstream has answered both times.
 func (b *Balancer) notHeld(now time.Time, e *entry, out *[]Action) {
-	certain := b.complete && e.search.waiting == 0 && !e.finished
+	certain := b.complete && e.search.waiting == 0 && len(e.search.unsure) == 0 && !e.reset
 	e.held, e.search, e.target = nil, nil, nil
 	switch {
 	case !certain:
@@ -101,16 +117,18 @@
 	*out = append(*out, Action{Kind: Drop, Reason: NotHeld, Flow: e.key})
 }
 
-// notFound deals with a packet that the chosen upstream does not hold.
+// notFound deals with a packet that an upstream does not hold.
 func (b *Balancer) notFound(now time.Time, e *entry, t *target, m *Message, out *[]Action) {
-	if e.target != t {
-		return
-	}
 	switch e.state {
 	case trying:
-		b.searchEnded(now, e, out)
+		e.search.unsure = slices.DeleteFunc(e.search.unsure, func(other *target) bool { return other == t })
+		if len(e.search.unsure) == 0 {
+			b.notHeld(now, e, out)
+		}
 	case settled:
-		b.locate(now, e, &Packet{Flow: e.key, Ack: m.Ack}, nil, out)
+		if e.target == t {
+			b.locate(now, e, &Packet{Flow: e.key, Ack: m.Ack}, nil, out)
+		}
 	case opening, waiting, locating, missing:
 	}
 }
