steering: tests of openings, searches, restarts and overload; openings before a desired state are reset

Cause: openings that waited for the first desired state after a loss of power all arrived in one burst. Change: a balancer without a desired state refuses openings at once.

--- /dev/null
+++ b/internal/steering/agent_test.go
@@ -0,0 +1,315 @@
+package steering_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bramleyhold.example/bramleyhold/internal/flow"
+	"bramleyhold.example/bramleyhold/internal/steering"
+	"bramleyhold.example/bramleyhold/internal/view"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+const (
+	orders    = "orders"
+	drying    = "kilnlog"
+	patience  = 250 * time.Millisecond
+	answerSeq = 5_000
+)
+
+var (
+	start     = time.Unix(1_000_000, 0)
+	virtual   = netip.MustParseAddrPort("198.18.0.1:443")
+	balancerA = netip.MustParseAddr("10.1.0.1")
+	balancerB = netip.MustParseAddr("10.1.0.2")
+)
+
+func flowOf(port uint16) flow.Key {
+	return flow.Key{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), port), Virtual: virtual, Protocol: 6}
+}
+
+func syn(port uint16) *steering.Packet {
+	return &steering.Packet{Flow: flowOf(port), Flags: steering.SYN, Sequence: 100}
+}
+
+// fromCaller is a packet of an open flow.
+func fromCaller(port uint16, payload int) *steering.Packet {
+	return &steering.Packet{Flow: flowOf(port), Flags: steering.ACK, Sequence: 101, Ack: answerSeq + 1, Payload: payload}
+}
+
+func fromUpstream(port uint16, flags steering.Flags, payload int) *steering.Packet {
+	return &steering.Packet{Flow: flowOf(port), Flags: flags, Sequence: answerSeq, Ack: 101, Payload: payload}
+}
+
+var own = steering.Mark{Service: steering.ServiceTag(orders), Patience: patience}
+
+func last(m steering.Mark) steering.Mark {
+	m.Last = true
+	return m
+}
+
+func announcement(incarnation vm.Incarnation, sequence uint64, status view.Status) steering.Announcement {
+	return steering.Announcement{VM: "i-1", Service: orders, Incarnation: incarnation, Sequence: sequence, Status: status, Slots: 2}
+}
+
+// agentRun drives one agent by hand.
+type agentRun struct {
+	*steering.Agent
+	t       *testing.T
+	now     time.Time
+	actions []steering.Action
+}
+
+func newAgentRun(t *testing.T) *agentRun {
+	return &agentRun{t: t, now: start, Agent: steering.NewAgent(steering.AgentConfig{
+		Service: orders, IdleTimeout: 20 * time.Second, MaxFlows: 100, Started: start,
+	})}
+}
+
+func readyAgent(t *testing.T) *agentRun {
+	a := newAgentRun(t)
+	require.True(t, a.Announce(announcement(1, 0, view.Ready)))
+	return a
+}
+
+func (a *agentRun) take() []steering.Action {
+	taken := a.actions
+	a.actions = nil
+	return taken
+}
+
+func (a *agentRun) caller(p *steering.Packet, m steering.Mark) []steering.Action {
+	a.FromBalancer(a.now, p, m, balancerA, []byte("packet"), &a.actions)
+	return a.take()
+}
+
+func (a *agentRun) upstream(p *steering.Packet) []steering.Action {
+	a.FromUpstream(a.now, p, []byte("packet"), &a.actions)
+	return a.take()
+}
+
+func (a *agentRun) locate(port uint16, ack uint32) steering.Verdict {
+	a.Message(a.now, balancerB, &steering.Message{Kind: steering.Locate, Flow: flowOf(port), Ack: ack}, &a.actions)
+	actions := a.take()
+	require.Len(a.t, actions, 1)
+	return actions[0].Message.Verdict
+}
+
+// open opens a flow and lets the caller confirm it.
+func (a *agentRun) open(port uint16) {
+	require.Equal(a.t, steering.Deliver, a.caller(syn(port), last(own))[0].Kind)
+	actions := a.upstream(fromUpstream(port, steering.SYN|steering.ACK, 0))
+	require.Equal(a.t, steering.Accepted, actions[0].Message.Kind)
+	require.Equal(a.t, steering.Reply, actions[1].Kind)
+	require.Equal(a.t, steering.Deliver, a.caller(fromCaller(port, 0), own)[0].Kind)
+}
+
+// Guards against openings that an upstream must not or cannot take, and against
+// answers that hide the reason from the balancer.
+func TestOpeningsThatAreNotTaken(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(a *agentRun)
+		mark    steering.Mark
+		want    steering.Verdict
+	}{
+		"restarted agent does not know its upstream": {func(*agentRun) {}, own, steering.Unready},
+		"upstream is leaving": {func(a *agentRun) { a.Announce(announcement(1, 0, view.Leaving)) }, last(own), steering.Leaving},
+		"upstream has ended":  {func(a *agentRun) { a.Announce(announcement(1, 0, view.Left)) }, last(own), steering.Leaving},
+		"leaving upstream announces ready late": {func(a *agentRun) {
+			a.Announce(announcement(1, 5, view.Leaving))
+			a.Announce(announcement(1, 4, view.Ready))
+			a.Announce(announcement(1, 6, view.Ready))
+		}, last(own), steering.Leaving},
+		"another service": {
+			func(a *agentRun) { a.Announce(announcement(1, 0, view.Ready)) },
+			steering.Mark{Service: steering.ServiceTag(drying), Last: true}, steering.Foreign,
+		},
+		"slots in use, others left": {busyAgent, own, steering.Busy},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newAgentRun(t)
+			c.prepare(a)
+			actions := a.caller(syn(9), c.mark)
+			require.Len(t, actions, 1)
+			require.Equal(t, steering.Tell, actions[0].Kind)
+			require.Equal(t, balancerA, actions[0].To)
+			require.Equal(t, steering.Rejected, actions[0].Message.Kind)
+			require.Equal(t, c.want, actions[0].Message.Verdict)
+			require.EqualValues(t, 100, actions[0].Message.Sequence)
+		})
+	}
+}
+
+func busyAgent(a *agentRun) {
+	a.Announce(announcement(1, 0, view.Ready))
+	for port := range uint16(2) {
+		a.open(port + 1)
+		a.caller(fromCaller(port+1, 10), own)
+	}
+}
+
+// Guards against callers that all return at once and are queued until their
+// answers come too late: beyond the slots only what can be answered in time is
+// taken.
+func TestAdmissionByExpectedWait(t *testing.T) {
+	a := newAgentRun(t)
+	a.Announce(announcement(1, 0, view.Ready))
+	a.open(1)
+	a.caller(fromCaller(1, 10), own)
+	a.now = a.now.Add(50 * time.Millisecond)
+	a.upstream(fromUpstream(1, steering.ACK, 10))
+
+	taken, refused := 0, 0
+	for port := uint16(10); port < 60; port++ {
+		actions := a.caller(syn(port), last(own))
+		if actions[0].Kind == steering.Tell {
+			require.Equal(t, steering.Overloaded, actions[0].Message.Verdict)
+			refused++
+			continue
+		}
+		taken++
+		a.upstream(fromUpstream(port, steering.SYN|steering.ACK, 0))
+		a.caller(fromCaller(port, 10), own)
+	}
+	// 2 slots at 50 ms: 250 ms hold five rounds of two, less the reserve.
+	require.GreaterOrEqual(t, taken, 6)
+	require.LessOrEqual(t, taken, 10)
+	require.Equal(t, 50-taken, refused)
+}
+
+// Guards against requests whose callers have given up, which would hold the
+// count of busy slots for as long as their flows are remembered.
+func TestAbandonedRequestsFreeTheirSlots(t *testing.T) {
+	a := newAgentRun(t)
+	busyAgent(a)
+	a.now = a.now.Add(1100 * time.Millisecond)
+	require.Equal(t, steering.Deliver, a.caller(syn(9), own)[0].Kind)
+}
+
+// Guards against a handshake that counts as a whole request: openings would be
+// returned although slots are free.
+func TestExpectedRequestsCountHalf(t *testing.T) {
+	a := readyAgent(t)
+	for port := uint16(1); port <= 4; port++ {
+		require.Equal(t, steering.Deliver, a.caller(syn(port), own)[0].Kind, "opening %d", port)
+	}
+	require.Equal(t, steering.Busy, a.caller(syn(5), own)[0].Message.Verdict)
+}
+
+// Guards against an upstream that does not answer: the balancer must hear of it
+// before the caller sends its next copy.
+func TestSilentUpstream(t *testing.T) {
+	a := readyAgent(t)
+	a.caller(syn(1), own)
+	require.Equal(t, start.Add(100*time.Millisecond), a.Deadline())
+	a.now = a.Deadline()
+	a.Tick(a.now, &a.actions)
+	actions := a.take()
+	require.Len(t, actions, 1)
+	require.Equal(t, steering.Silent, actions[0].Message.Verdict)
+	require.Equal(t, steering.Silent, a.caller(syn(2), own)[0].Message.Verdict)
+	require.Equal(t, steering.Deliver, a.caller(syn(2), last(own))[0].Kind, "the last choice is tried all the same")
+}
+
+// Guards against an upstream that returns an opening while the balancer waits.
+func TestUpstreamReturnsOpening(t *testing.T) {
+	a := readyAgent(t)
+	a.caller(syn(1), own)
+	p := syn(1)
+	p.Flags |= steering.Returned
+	actions := a.upstream(p)
+	require.Equal(t, steering.Refused, actions[0].Message.Verdict)
+	busy, flows := a.Load()
+	require.Zero(t, busy)
+	require.Zero(t, flows)
+}
+
+// Guards against a flow that is lost when the agent restarts: the upstream
+// knows its flows, and its packets bring them back.
+func TestRestartedAgentTakesUpFlows(t *testing.T) {
+	a := readyAgent(t)
+	require.Equal(t, steering.Unsure, a.locate(1, answerSeq+1))
+	require.Equal(t, steering.Tried, a.caller(fromCaller(1, 10), own)[0].Reason)
+	actions := a.upstream(fromUpstream(1, steering.ACK, 10))
+	require.Equal(t, steering.Holds, actions[0].Message.Verdict)
+	require.Equal(t, balancerA, actions[0].To)
+	require.Equal(t, steering.Reply, actions[1].Kind)
+	require.Equal(t, steering.Holds, a.locate(1, answerSeq+1))
+	require.Equal(t, steering.Known, a.caller(fromCaller(1, 10), own)[0].Reason)
+}
+
+// Guards against repeated deliveries of packets that the upstream has returned,
+// and against an agent that stays unsure about them.
+func TestDeniedFlowIsRemembered(t *testing.T) {
+	a := readyAgent(t)
+	a.caller(fromCaller(1, 10), own)
+	p := fromCaller(1, 10)
+	p.Flags |= steering.Returned
+	require.Equal(t, steering.NotFound, a.upstream(p)[0].Message.Kind)
+	require.Equal(t, steering.NotFound, a.caller(fromCaller(1, 10), own)[0].Message.Kind)
+	require.Equal(t, steering.HoldsNot, a.locate(1, answerSeq+1))
+	require.Equal(t, steering.Deliver, a.caller(syn(1), own)[0].Kind, "the port may be used again")
+}
+
+// Guards against a reset of a flow whose upstream lives, and against silence
+// about one whose upstream has started again.
+func TestReturnedPacketOfOpenFlow(t *testing.T) {
+	a := readyAgent(t)
+	a.open(1)
+	p := fromCaller(1, 10)
+	p.Flags |= steering.Returned
+	require.Equal(t, steering.NotFound, a.upstream(p)[0].Message.Kind)
+	require.Equal(t, steering.HoldsNot, a.locate(1, answerSeq+1))
+	a.Announce(announcement(2, 0, view.Ready))
+	actions := a.upstream(p)
+	require.Equal(t, steering.Reset, actions[0].Kind)
+	require.Equal(t, p.Ack, actions[0].Sequence)
+}
+
+// Guards against two upstreams that believe to hold one flow: the caller's
+// acknowledgement names the answer that it has taken.
+func TestCallerChoseAnotherUpstream(t *testing.T) {
+	a := readyAgent(t)
+	a.caller(syn(1), own)
+	a.upstream(fromUpstream(1, steering.SYN|steering.ACK, 0))
+	p := fromCaller(1, 0)
+	p.Ack = answerSeq + 1_000_000
+	require.Equal(t, steering.NotFound, a.caller(p, own)[0].Message.Kind)
+	require.Equal(t, steering.HoldsNot, a.locate(1, p.Ack))
+	require.Equal(t, steering.Holds, a.locate(1, answerSeq+1))
+}
+
+// Guards against late announcements of an upstream that has been replaced at
+// the same address.
+func TestAnnouncementsOfEarlierIncarnations(t *testing.T) {
+	a := newAgentRun(t)
+	require.True(t, a.Announce(announcement(5, 3, view.Ready)))
+	require.False(t, a.Announce(announcement(5, 4, view.Ready)), "nothing new")
+	require.False(t, a.Announce(announcement(4, 90, view.Leaving)))
+	require.False(t, a.Announce(announcement(5, 2, view.Leaving)))
+	require.True(t, a.Announce(announcement(6, 0, view.Ready)), "counts start again")
+	current, known := a.Upstream()
+	require.True(t, known)
+	require.EqualValues(t, 6, current.Incarnation)
+}
+
+// Guards against a SYN copy that opens a second flow, and against flows that are
+// never forgotten.
+func TestCopiesAndExpiry(t *testing.T) {
+	a := readyAgent(t)
+	a.caller(syn(1), own)
+	require.Equal(t, steering.Repeated, a.caller(syn(1), own)[0].Reason)
+	_, flows := a.Load()
+	require.Equal(t, 1, flows)
+	a.upstream(fromUpstream(1, steering.SYN|steering.ACK, 0))
+	for range 30 {
+		a.now = a.now.Add(time.Second)
+		a.Tick(a.now, &a.actions)
+	}
+	_, flows = a.Load()
+	require.Zero(t, flows)
+	require.True(t, a.Deadline().IsZero(), "an idle agent has no timer")
+}
--- /dev/null
+++ b/internal/steering/balancer_test.go
@@ -0,0 +1,285 @@
+package steering_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bramleyhold.example/bramleyhold/internal/intent"
+	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/steering"
+	"bramleyhold.example/bramleyhold/internal/view"
+	"bramleyhold.example/bramleyhold/internal/vm"
+	"bramleyhold.example/bramleyhold/internal/zone"
+)
+
+var (
+	near = zone.ID{Region: "si", Name: "a"}
+	far  = zone.ID{Region: "si", Name: "b"}
+)
+
+func agentAddress(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 2, 0, byte(i)}) }
+
+func upstream(i int, name service.Name, z zone.ID, status view.Status) steering.Upstream {
+	return steering.Upstream{Service: name, Upstream: view.Upstream{
+		VM: vm.ID(fmt.Sprint("vm-", i)), Zone: z, Address: netip.AddrPortFrom(agentAddress(i), 8000), Incarnation: 1, Status: status, Slots: 2,
+	}}
+}
+
+func desired(version uint64, shares ...intent.Share) *intent.Desired {
+	return &intent.Desired{Version: version, IdleTimeout: 15 * time.Second, Routes: []intent.Route{{
+		Name: "r", Virtual: virtual, Split: shares, Kind: intent.Repeatable, Timeout: time.Second, Objective: patience,
+	}}}
+}
+
+// balancerRun drives one balancer by hand.
+type balancerRun struct {
+	*steering.Balancer
+	t       *testing.T
+	now     time.Time
+	actions []steering.Action
+}
+
+func newBalancerRun(t *testing.T, upstreams ...steering.Upstream) *balancerRun {
+	b := &balancerRun{t: t, now: start, Balancer: steering.NewBalancer(steering.BalancerConfig{
+		Zone: near, MaxFlows: 1000, Random: rand.New(rand.NewPCG(1, 2)),
+	})}
+	b.SetDesired(desired(1, intent.Share{Service: orders, Weight: 1}))
+	b.SetUpstreams(upstreams, true)
+	return b
+}
+
+func (b *balancerRun) take() []steering.Action {
+	taken := b.actions
+	b.actions = nil
+	return taken
+}
+
+func (b *balancerRun) packet(p *steering.Packet) []steering.Action {
+	b.Packet(b.now, p, []byte("packet"), &b.actions)
+	return b.take()
+}
+
+func (b *balancerRun) tell(agent int, m steering.Message) []steering.Action {
+	m.Flow = flowOf(1)
+	b.Message(b.now, agentAddress(agent), &m, &b.actions)
+	return b.take()
+}
+
+// wait advances the time to the next deadline.
+func (b *balancerRun) wait() []steering.Action {
+	b.now = b.Deadline()
+	b.Tick(b.now, &b.actions)
+	return b.take()
+}
+
+func number(a netip.Addr) int { return int(a.As4()[3]) }
+
+// Guards against openings that cross zones although an upstream nearby is free.
+func TestOpeningStaysInZone(t *testing.T) {
+	b := newBalancerRun(t, upstream(1, orders, far, view.Ready), upstream(2, orders, near, view.Ready))
+	actions := b.packet(syn(1))
+	require.Len(t, actions, 1)
+	require.Equal(t, agentAddress(2), actions[0].To)
+	require.False(t, actions[0].Mark.Last)
+	require.Equal(t, patience, actions[0].Mark.Patience)
+}
+
+// Guards against openings for upstreams that take no work, and against those
+// that reach another service.
+func TestOnlyReadyUpstreamsOfTheRoute(t *testing.T) {
+	b := newBalancerRun(t, upstream(1, orders, near, view.Leaving), upstream(2, drying, near, view.Ready), upstream(3, orders, far, view.Ready),
+		upstream(4, orders, near, view.Starting), upstream(5, orders, near, view.Failed))
+	for port := uint16(1); port < 50; port++ {
+		require.Equal(t, agentAddress(3), b.packet(syn(port))[0].To)
+	}
+}
+
+// Guards against an opening that is lost when an agent returns it, and against
+// one that visits every upstream under overload.
+func TestReturnedOpeningGoesOn(t *testing.T) {
+	b := newBalancerRun(t, upstream(1, orders, near, view.Ready), upstream(2, orders, near, view.Ready),
+		upstream(3, orders, near, view.Ready), upstream(4, orders, near, view.Ready))
+	tried := map[int]bool{}
+	actions := b.packet(syn(1))
+	for try := 1; try <= 3; try++ {
+		require.Len(t, actions, 1)
+		agent := number(actions[0].To)
+		require.False(t, tried[agent])
+		tried[agent] = true
+		require.Equal(t, try == 3, actions[0].Mark.Last)
+		actions = b.tell(agent, steering.Message{Kind: steering.Rejected, Verdict: steering.Busy, Sequence: 100})
+		if try == 3 {
+			break
+		}
+	}
+}
+
+// Guards against a caller that is kept waiting although its request cannot be
+// answered in time.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	b := newBalancerRun(t, upstream(1, orders, near, view.Ready))
+	require.True(t, b.packet(syn(1))[0].Mark.Last)
+	actions := b.tell(1, steering.Message{Kind: steering.Rejected, Verdict: steering.Overloaded, Sequence: 100})
+	require.Equal(t, steering.Reset, actions[0].Kind)
+	require.Equal(t, steering.TooBusy, actions[0].Reason)
+}
+
+// Guards against an agent that does not answer: its openings must go elsewhere
+// before the caller's next copy, and the next ones must not go there.
+func TestSilentAgentIsAvoided(t *testing.T) {
+	b := newBalancerRun(t, upstream(1, orders, near, view.Ready), upstream(2, orders, far, view.Ready))
+	require.Equal(t, agentAddress(1), b.packet(syn(1))[0].To)
+	actions := b.wait()
+	require.Less(t, b.now.Sub(start), 200*time.Millisecond)
+	require.Equal(t, agentAddress(2), actions[0].To)
+	require.Equal(t, steering.PlacedAgain, actions[0].Reason)
+	require.Equal(t, agentAddress(2), b.packet(syn(2))[0].To)
+	b.tell(1, steering.Message{Kind: steering.Accepted, Sequence: answerSeq})
+	require.Equal(t, agentAddress(1), b.packet(fromCaller(1, 0))[0].To, "the caller has taken the late answer")
+}
+
+// Guards against resets and placements for virtual addresses that no desired
+// state has, was there or is not yet known.
+func TestRoutes(t *testing.T) {
+	b := newBalancerRun(t, upstream(1, orders, near, view.Ready))
+	other := syn(1)
+	other.Flow.Virtual = netip.MustParseAddrPort("198.18.0.9:443")
+	require.Equal(t, steering.Reset, b.packet(other)[0].Kind)
+	data := fromCaller(2, 10)
+	data.Flow.Virtual = other.Flow.Virtual
+	require.NotEqual(t, steering.Reset, b.packet(data)[0].Kind, "the route may be new")
+
+	b.packet(syn(3))
+	b.tell(1, steering.Message{Kind: steering.Accepted, Sequence: answerSeq})
+	require.True(t, b.SetDesired(&intent.Desired{Version: 2}))
+	actions := b.packet(fromCaller(3, 10))
+	require.Equal(t, steering.RouteRemoved, actions[0].Reason)
+	require.EqualValues(t, answerSeq+1, actions[0].Sequence)
+}
+
+// Guards against a desired state that goes back.
+func TestEarlierVersionIsIgnored(t *testing.T) {
+	b := newBalancerRun(t)
+	require.True(t, b.SetDesired(desired(7, intent.Share{Service: drying, Weight: 1})))
+	require.False(t, b.SetDesired(desired(6, intent.Share{Service: orders, Weight: 1})))
+	require.EqualValues(t, 7, b.Version())
+}
+
+// Guards against splits that do not follow the weights.
+func TestSplit(t *testing.T) {
+	b := newBalancerRun(t, upstream(1, orders, near, view.Ready), upstream(2, drying, near, view.Ready))
+	b.SetDesired(desired(2, intent.Share{Service: orders, Weight: 90}, intent.Share{Service: drying, Weight: 10}))
+	count := 0
+	for port := uint16(1); port <= 1000; port++ {
+		if b.packet(syn(port))[0].To == agentAddress(2) {
+			count++
+		}
+	}
+	require.InDelta(t, 100, count, 30)
+}
+
+// Guards against a flow that is lost with its balancer: another one asks the
+// agents, and packets keep their order meanwhile.
+func TestFlowIsFound(t *testing.T) {
+	b := newBalancerRun(t, upstream(1, orders, near, view.Ready), upstream(2, orders, far, view.Leaving), upstream(3, orders, far, view.Left))
+	actions := b.packet(fromCaller(1, 10))
+	require.Len(t, actions, 2, "upstreams that have left hold nothing")
+	require.Equal(t, steering.Locate, actions[0].Message.Kind)
+	require.Empty(t, b.packet(fromCaller(1, 20)))
+	require.Empty(t, b.tell(1, steering.Message{Kind: steering.Located, Verdict: steering.HoldsNot}))
+	actions = b.tell(2, steering.Message{Kind: steering.Located, Verdict: steering.Holds})
+	require.Len(t, actions, 2)
+	require.Equal(t, agentAddress(2), actions[0].To)
+	require.Equal(t, agentAddress(2), b.packet(fromCaller(1, 30))[0].To)
+}
+
+// Guards against a flow that is given up because its agent has just restarted.
+func TestUnsureAgentsAreTried(t *testing.T) {
+	b := newBalancerRun(t, upstream(1, orders, near, view.Ready), upstream(2, orders, far, view.Ready))
+	b.packet(fromCaller(1, 10))
+	b.tell(1, steering.Message{Kind: steering.Located, Verdict: steering.Unsure})
+	actions := b.tell(2, steering.Message{Kind: steering.Located, Verdict: steering.Unsure})
+	require.Len(t, actions, 2)
+	require.Equal(t, steering.Tried, actions[0].Reason)
+	require.Empty(t, b.tell(1, steering.Message{Kind: steering.NotFound}))
+	require.Empty(t, b.tell(2, steering.Message{Kind: steering.Located, Verdict: steering.Holds}))
+	require.Equal(t, agentAddress(2), b.packet(fromCaller(1, 30))[0].To)
+}
+
+// Guards against silence about a dead flow, which keeps its caller waiting until
+// the end of its time, and against the reset of a flow that may live.
+func TestDeadFlowIsReset(t *testing.T) {
+	for name, c := range map[string]struct {
+		complete bool
+		second   steering.Verdict
+		want     bool
+	}{
+		"all deny it":                  {true, steering.HoldsNot, true},
+		"directory is incomplete":      {false, steering.HoldsNot, false},
+		"an agent does not answer":     {true, 0, false},
+		"an agent is unsure, then not": {true, steering.Unsure, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBalancerRun(t)
+			b.Balancer = steering.NewBalancer(steering.BalancerConfig{Zone: near, MaxFlows: 10, Random: rand.New(rand.NewPCG(1, 2))})
+			b.SetDesired(desired(1, intent.Share{Service: orders, Weight: 1}))
+			b.SetUpstreams([]steering.Upstream{upstream(1, orders, near, view.Ready), upstream(2, orders, far, view.Ready)}, c.complete)
+			search := func() []steering.Action {
+				b.packet(fromCaller(1, 10))
+				actions := b.tell(1, steering.Message{Kind: steering.Located, Verdict: steering.HoldsNot})
+				switch c.second {
+				case 0:
+					actions = b.wait()
+				case steering.Unsure:
+					b.tell(2, steering.Message{Kind: steering.Located, Verdict: steering.Unsure})
+					actions = b.tell(2, steering.Message{Kind: steering.NotFound})
+				default:
+					actions = b.tell(2, steering.Message{Kind: steering.Located, Verdict: c.second})
+				}
+				return actions
+			}
+			first := search()
+			require.Len(t, first, 1)
+			require.Equal(t, steering.Drop, first[0].Kind, "one search is not enough")
+			b.now = b.now.Add(200 * time.Millisecond)
+			second := search()
+			require.Len(t, second, 1)
+			require.Equal(t, c.want, second[0].Kind == steering.Reset)
+		})
+	}
+}
+
+// Guards against openings that are refused although their upstream is about to
+// take work, and against waiting where no upstream will.
+func TestOpeningWaitsForStartingUpstream(t *testing.T) {
+	b := newBalancerRun(t, upstream(1, orders, near, view.Starting))
+	require.Equal(t, steering.Wait, b.packet(syn(1))[0].Kind)
+	b.SetUpstreams([]steering.Upstream{upstream(1, orders, near, view.Ready)}, true)
+	b.Resume(b.now, &b.actions)
+	require.Equal(t, agentAddress(1), b.take()[0].To)
+
+	b = newBalancerRun(t, upstream(1, orders, near, view.Leaving))
+	require.Equal(t, steering.NoUpstream, b.packet(syn(1))[0].Reason)
+}
+
+// Guards against a memory that grows with flows that have ended.
+func TestFlowsAreForgotten(t *testing.T) {
+	b := newBalancerRun(t, upstream(1, orders, near, view.Ready))
+	for port := uint16(1); port <= 2000; port++ {
+		b.packet(syn(port))
+	}
+	require.LessOrEqual(t, b.Flows(), 1000)
+	for range 40 {
+		if b.Deadline().IsZero() {
+			break
+		}
+		b.now = b.Deadline().Add(time.Second)
+		b.Tick(b.now, &b.actions)
+	}
+	require.Zero(t, b.Flows())
+}
--- a/internal/steering/placement.go
+++ b/internal/steering/placement.go
@@ -119,7 +119,14 @@
 	if e != nil && e.sequence == p.Sequence && e.state == waiting {
 		return
 	}
-	if route == nil && b.desired != nil {
+	if b.desired == nil {
+		// The fabric sends packets here only if no balancer is ready. Callers
+		// that are refused at once come back after different pauses, instead of
+		// all at the moment when the desired state arrives.
+		b.reset(p, NoDesired, out)
+		return
+	}
+	if route == nil {
 		b.reset(p, NoRoute, out)
 		return
 	}
@@ -132,12 +139,6 @@
 // place sends an opening to the best upstream that has not had it yet.
 func (b *Balancer) place(now time.Time, e *entry, reason Reason, out *[]Action) {
 	route := b.routes[e.key.Virtual]
-	if b.desired == nil {
-		e.state = waiting
-		b.plan(e, now.Add(waitInterval))
-		*out = append(*out, Action{Kind: Wait, Reason: NoDesired, Flow: e.key})
-		return
-	}
 	if route == nil {
 		b.refuse(e, NoRoute, out)
 		return
@@ -262,14 +263,6 @@
 
 // tryAgain places an opening that has waited.
 func (b *Balancer) tryAgain(now time.Time, e *entry, out *[]Action) {
-	if b.desired == nil {
-		if now.Sub(e.startedAt) >= openingLifetime {
-			delete(b.flows, e.key)
-			return
-		}
-		b.plan(e, now.Add(waitInterval))
-		return
-	}
 	b.place(now, e, PlacedAgain, out)
 }
 
