--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,188 @@
+package directory_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bramleyhold.example/bramleyhold/internal/directory"
+	"bramleyhold.example/bramleyhold/internal/view"
+	"bramleyhold.example/bramleyhold/internal/vm"
+	"bramleyhold.example/bramleyhold/internal/zone"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func address(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}) }
+
+func record(role vm.Role, i int, process, revision uint64, status view.Status) directory.Record {
+	return directory.Record{
+		VM: vm.ID(fmt.Sprint(role, i)), Role: role, Address: address(i), Zone: zone.ID{Region: "si", Name: "a"},
+		Process: process, Revision: revision, Status: status,
+	}
+}
+
+func newServer(i int) *directory.Server {
+	return directory.NewServer(directory.ServerConfig{
+		Epoch: uint64(100 + i), Started: start, Self: record(vm.RoleControl, i, 1, 1, view.Ready),
+	})
+}
+
+func newClient(role vm.Role, i int, seeds ...netip.Addr) *directory.Client {
+	return directory.NewClient(directory.ClientConfig{
+		Self: record(role, i, 50, 1, view.Ready), Seeds: seeds, Subscribe: role == vm.RoleBalancer, Random: rand.New(rand.NewPCG(1, 2)),
+	}, start)
+}
+
+// exchange delivers the client's next request and the answers for it. Answers
+// whose index is in lose are lost.
+func exchange(t *testing.T, now time.Time, c *directory.Client, s *directory.Server, at netip.Addr, lose map[int]bool) {
+	t.Helper()
+	requests := c.Tick(now)
+	require.Len(t, requests, 1)
+	for i, send := range s.Ask(now, &requests[0].Ask) {
+		if send.To == c.Self().Address && !lose[i] {
+			c.Answer(now, at, send.Answer)
+		}
+	}
+}
+
+// Guards against records of earlier processes at an address that has been
+// given to another VM, and against announcements that arrive late.
+func TestLaterRecordsWin(t *testing.T) {
+	table := directory.NewTable()
+	first := record(vm.RoleUpstream, 1, 10, 5, view.Ready)
+	require.True(t, table.Put(start, &first))
+	for _, late := range []directory.Record{record(vm.RoleUpstream, 1, 10, 4, view.Leaving), record(vm.RoleUpstream, 1, 9, 99, view.Leaving)} {
+		require.False(t, table.Put(start, &late))
+	}
+	next := record(vm.RoleUpstream, 1, 11, 1, view.Starting)
+	next.VM = "other"
+	require.True(t, table.Put(start, &next))
+	table.Entries(vm.RoleUpstream, func(e *directory.Entry) { require.Equal(t, vm.ID("other"), e.VM) })
+}
+
+// Guards against processes that are shown as running after they have gone, and
+// against one that stays failed after it has returned.
+func TestSilentProcesses(t *testing.T) {
+	table := directory.NewTable()
+	r := record(vm.RoleUpstream, 1, 10, 1, view.Ready)
+	table.Put(start, &r)
+	status := func() (s view.Status) {
+		table.Entries(vm.RoleUpstream, func(e *directory.Entry) { s = e.Status })
+		return s
+	}
+	table.Expire(start.Add(5 * time.Second))
+	require.Equal(t, view.Ready, status())
+	table.Expire(start.Add(7 * time.Second))
+	require.Equal(t, view.Failed, status())
+	require.True(t, table.Put(start.Add(8*time.Second), &r))
+	require.Equal(t, view.Ready, status())
+	table.Expire(start.Add(80 * time.Second))
+	require.Empty(t, status())
+}
+
+// Guards against a table that misses records because an answer was lost: the
+// position stays behind until the gap is filled.
+func TestLostAnswersAreSentAgain(t *testing.T) {
+	s := newServer(1)
+	for i := range 35 {
+		r := record(vm.RoleUpstream, 10+i, 1, 1, view.Ready)
+		s.Ask(start, &directory.Ask{Self: r})
+	}
+	c := newClient(vm.RoleBalancer, 2, address(1))
+	exchange(t, start, c, s, address(1), map[int]bool{1: true})
+	require.Less(t, len(c.Upstreams()), 35)
+	exchange(t, start.Add(time.Second), c, s, address(1), nil)
+	require.Len(t, c.Upstreams(), 35)
+}
+
+// Guards against balancers that hear of a leaving upstream only when they ask
+// again.
+func TestChangesArePushed(t *testing.T) {
+	s := newServer(1)
+	c := newClient(vm.RoleBalancer, 2, address(1))
+	exchange(t, start, c, s, address(1), nil)
+	sends := s.Ask(start, &directory.Ask{Self: record(vm.RoleUpstream, 10, 1, 1, view.Leaving)})
+	pushed := 0
+	for _, send := range sends {
+		if send.To == address(2) {
+			require.True(t, c.Answer(start, address(1), send.Answer).Changed)
+			pushed++
+		}
+	}
+	require.Equal(t, 1, pushed)
+	require.Equal(t, view.Leaving, c.Upstreams()[0].Status)
+}
+
+// Guards against resets of open flows on the word of a control process that has
+// just started and knows few upstreams.
+func TestCompleteness(t *testing.T) {
+	s := newServer(1)
+	c := newClient(vm.RoleBalancer, 2, address(1))
+	exchange(t, start, c, s, address(1), nil)
+	require.True(t, c.Synced())
+	require.False(t, c.Complete())
+	exchange(t, start.Add(1100*time.Millisecond), c, s, address(1), nil)
+	require.True(t, c.Complete(), "every process has asked once")
+
+	fresh := newServer(3)
+	fresh.Merge(start, &directory.Answer{Records: []directory.Record{record(vm.RoleUpstream, 10, 1, 1, view.Ready)}}, true)
+	c = newClient(vm.RoleBalancer, 2, address(3))
+	exchange(t, start, c, fresh, address(3), nil)
+	require.True(t, c.Complete(), "another control process has told a complete table")
+}
+
+// Guards against a process whose clock went back: its announcements would lose
+// against those of its predecessor.
+func TestClockBehind(t *testing.T) {
+	s := newServer(1)
+	s.Ask(start, &directory.Ask{Self: record(vm.RoleUpstream, 10, 900, 7, view.Ready)})
+	c := newClient(vm.RoleUpstream, 10, address(1))
+	requests := c.Tick(start)
+	var answer *directory.Answer
+	for _, send := range s.Ask(start, &requests[0].Ask) {
+		answer = send.Answer
+	}
+	news := c.Answer(start, address(1), answer)
+	require.Len(t, news.Requests, 1)
+	require.EqualValues(t, 901, news.Requests[0].Ask.Self.Process)
+	s.Ask(start, &news.Requests[0].Ask)
+	require.EqualValues(t, 901, s.Table().Known(&news.Requests[0].Ask.Self))
+}
+
+// Guards against a process that asks only seeds that have been replaced.
+func TestControlProcessesAreLearned(t *testing.T) {
+	s := newServer(1)
+	s.Ask(start, &directory.Ask{Self: record(vm.RoleControl, 7, 1, 1, view.Ready)})
+	c := newClient(vm.RoleUpstream, 10, address(1))
+	exchange(t, start, c, s, address(1), nil)
+	c.SetSeeds(start, []netip.Addr{address(1)})
+	asked := map[netip.Addr]bool{}
+	for i := range 4 {
+		for _, r := range c.Tick(start.Add(time.Duration(i+1) * time.Second)) {
+			asked[r.To] = true
+		}
+	}
+	require.Equal(t, map[netip.Addr]bool{address(1): true, address(7): true}, asked)
+	for _, r := range c.Tick(start.Add(time.Hour)) {
+		require.Equal(t, address(1), r.To, "a learned one that is silent is dropped, a seed is not")
+	}
+}
+
+// Guards against a new version that is learned only at the next turn.
+func TestNoticeOfVersion(t *testing.T) {
+	s := newServer(1)
+	c := newClient(vm.RoleBalancer, 2, address(1))
+	exchange(t, start, c, s, address(1), nil)
+	s.Version = 4
+	notices := s.Notices(start)
+	require.Len(t, notices, 1)
+	require.EqualValues(t, 4, c.Answer(start, address(1), notices[0].Answer).Version)
+	c.SetVersion(4)
+	require.Zero(t, c.Answer(start, address(1), notices[0].Answer).Version)
+}
--- /dev/null
+++ b/internal/intent/desired_test.go
@@ -0,0 +1,70 @@
+package intent_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bramleyhold.example/bramleyhold/internal/intent"
+)
+
+func desiredState(version uint64, document string) intent.Desired {
+	return intent.Desired{
+		Version: version, Document: []byte(document), Services: []intent.DesiredService{{Name: "orders"}},
+		Routes: []intent.Route{{
+			Name: "r", Virtual: netip.MustParseAddrPort("198.18.0.1:443"), Timeout: time.Second,
+			Split: []intent.Share{{Service: "orders", Weight: 1}},
+		}},
+	}
+}
+
+// Guards against a desired state that goes back, is replaced under its version,
+// or is refused when an operator repeats it.
+func TestHighestVersionIsInForce(t *testing.T) {
+	s := &intent.State{}
+	for _, c := range []struct {
+		version  uint64
+		document string
+		outcome  intent.Outcome
+		inForce  uint64
+	}{
+		{5, "a", intent.Accepted, 5},
+		{5, "a", intent.Accepted, 5},
+		{5, "b", intent.Conflict, 5},
+		{3, "c", intent.Superseded, 5},
+		{9, "d", intent.Accepted, 9},
+		{5, "a", intent.Superseded, 9},
+	} {
+		d := desiredState(c.version, c.document)
+		var result intent.Result
+		s, result = intent.Apply(s, intent.Change{Kind: intent.KindDesired, Desired: &d})
+		require.Equal(t, c.outcome, result.Outcome, "version %d with content %s", c.version, c.document)
+		require.Equal(t, c.inForce, s.Desired.Version)
+	}
+	require.EqualValues(t, 2, s.Revision, "only changes make a revision")
+	require.Equal(t, "d", string(s.Desired.Document))
+}
+
+// Guards against desired states that cannot be served.
+func TestInvalidDesiredStates(t *testing.T) {
+	for name, change := range map[string]func(d *intent.Desired){
+		"no version":          func(d *intent.Desired) { d.Version = 0 },
+		"unknown service":     func(d *intent.Desired) { d.Routes[0].Split[0].Service = "other" },
+		"no timeout":          func(d *intent.Desired) { d.Routes[0].Timeout = 0 },
+		"no weight":           func(d *intent.Desired) { d.Routes[0].Split[0].Weight = 0 },
+		"no virtual address":  func(d *intent.Desired) { d.Routes[0].Virtual = netip.AddrPort{} },
+		"two routes in place": func(d *intent.Desired) { d.Routes = append(d.Routes, d.Routes[0]) },
+		"service twice":       func(d *intent.Desired) { d.Services = append(d.Services, d.Services[0]) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := desiredState(1, "a")
+			good := d.Validate()
+			require.NoError(t, good.Err())
+			change(&d)
+			bad := d.Validate()
+			require.Len(t, bad.Findings, 1)
+		})
+	}
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -31,7 +31,7 @@
 	logger := logrus.New()
 	logger.SetOutput(out)
 	logger.SetLevel(parsed)
-	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano, DisableHTMLEscape: true})
 	return logger.WithFields(logrus.Fields{"program": program, "vm": string(id)}), nil
 }
 
