--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -31,6 +31,7 @@
 	core     *consensus.Core // nil while the replica is down
 	state    *intent.State
 	applied  uint64
+	late     bool   // added after the first start
 	revision uint64 // highest revision served since the disk was empty
 	waiting  map[uint64]func(term uint64, r intent.Result)
 	reading  map[uint64]func(ok bool, revision uint64)
@@ -55,6 +56,9 @@
 	loss, dup float64
 	committed map[uint64]string
 	lives     vm.Incarnation
+	// target opens the membership; founders are then the first members.
+	target   int
+	founders int
 	reads     uint64
 	installs  int
 }
@@ -76,11 +80,14 @@
 func (c *cluster) start(m *member) {
 	c.lives++
 	ids := []vm.ID{}
-	for _, other := range c.members {
-		ids = append(ids, other.id)
+	for i, other := range c.members {
+		if c.founders == 0 || i < c.founders {
+			ids = append(ids, other.id)
+		}
 	}
 	options := consensus.DefaultOptions(consensus.Replica{VM: m.id, Incarnation: c.lives}, ids)
 	options.ElectionTimeout, options.Heartbeat, options.MaxBatchBytes, options.MaxInflight = electionTimeout, heartbeat, 600, 3
+	options.TargetVoters, options.ReplaceAfter, options.NoFounding = c.target, 4*electionTimeout, m.late
 	restored := m.disk
 	restored.Entries = slices.Clone(m.disk.Entries)
 	core, err := consensus.New(options, restored, c.now, rand.New(rand.NewPCG(c.random.Uint64(), 2)))
