steering: full upstreams get no opening for 50 ms

Cause: under overload each opening was returned by three upstreams before it was refused, 33 ms later across zones. Change: an upstream that could not answer one more opening in time is left out for 50 ms; if all are, the opening is refused at once.

--- a/internal/steering/balancer_test.go
+++ b/internal/steering/balancer_test.go
@@ -127,6 +127,11 @@
 	actions := b.tell(1, steering.Message{Kind: steering.Rejected, Verdict: steering.Overloaded, Sequence: 100})
 	require.Equal(t, steering.Reset, actions[0].Kind)
 	require.Equal(t, steering.TooBusy, actions[0].Reason)
+
+	actions = b.packet(syn(2))
+	require.Equal(t, steering.TooBusy, actions[0].Reason, "known to be full: refused without an exchange")
+	b.now = b.now.Add(60 * time.Millisecond)
+	require.Equal(t, steering.Forward, b.packet(syn(3))[0].Kind)
 }
 
 // Guards against an agent that does not answer: its openings must go elsewhere
--- a/internal/steering/placement.go
+++ b/internal/steering/placement.go
@@ -33,6 +33,11 @@
 	// avoidTime is how long an upstream that could not take an opening gets no
 	// other one, unless there is no choice.
 	avoidTime = 500 * time.Millisecond
+	// fullTime is how long an upstream that could not answer in time gets no
+	// opening. Under lasting overload openings are then refused at once, instead
+	// of after an exchange with three upstreams; two or three requests end
+	// meanwhile.
+	fullTime = 50 * time.Millisecond
 	// silentTime is the same for an agent that did not answer at all.
 	silentTime = 1500 * time.Millisecond
 )
@@ -54,6 +59,8 @@
 	placed int
 	// avoidUntil: it could not take an opening.
 	avoidUntil time.Time
+	// fullUntil: it could not answer one more opening in time.
+	fullUntil time.Time
 }
 
 func (t *target) heard(now time.Time, m *Message) {
@@ -144,6 +151,10 @@
 		return
 	}
 	best, more := b.choose(now, e, route)
+	if best == nil && more {
+		b.refuse(e, TooBusy, out)
+		return
+	}
 	if best == nil {
 		b.exhausted(now, e, route, out)
 		return
@@ -159,16 +170,21 @@
 	})
 }
 
-// choose returns the upstream for an opening, and whether there are others.
+// choose returns the upstream for an opening, and whether there are others. If it
+// returns none although there are some, all of them are full.
 func (b *Balancer) choose(now time.Time, e *entry, route *intent.Route) (best *target, more bool) {
 	var second *target
 	bestScore := 0.0
 	candidates := b.members[b.share(e, route)]
-	avoiding := false
+	avoiding, full := false, false
 	for _, t := range candidates {
 		if !t.TakesWork() || slices.Contains(e.tried, t.Address.Addr()) {
 			continue
 		}
+		if now.Before(t.fullUntil) {
+			full = true
+			continue
+		}
 		if now.Before(t.avoidUntil) {
 			avoiding = true
 			continue
@@ -183,17 +199,20 @@
 	if best != nil {
 		return best, second != nil && len(e.tried)+1 < maxTries
 	}
+	if full && len(e.tried) == 0 {
+		return nil, true
+	}
 	if avoiding {
-		best = b.leastAvoided(e, candidates)
+		best = b.leastAvoided(now, e, candidates)
 	}
 	return best, false
 }
 
 // leastAvoided returns the upstream whose time of avoidance ends first.
-func (b *Balancer) leastAvoided(e *entry, candidates []*target) *target {
+func (b *Balancer) leastAvoided(now time.Time, e *entry, candidates []*target) *target {
 	var best *target
 	for _, t := range candidates {
-		if !t.TakesWork() || slices.Contains(e.tried, t.Address.Addr()) {
+		if !t.TakesWork() || now.Before(t.fullUntil) || slices.Contains(e.tried, t.Address.Addr()) {
 			continue
 		}
 		if best == nil || t.avoidUntil.Before(best.avoidUntil) {
@@ -295,6 +314,8 @@
 	switch m.Verdict {
 	case Leaving, Foreign, Unready, Silent:
 		t.avoidUntil = now.Add(avoidTime)
+	case Overloaded:
+		t.fullUntil = now.Add(fullTime)
 	}
 	if e.state != opening || e.target != t || e.sequence != m.Sequence || len(e.offers) > 0 {
 		return
