steering: openings use half of a caller's patience, and further upstreams are tried within a quarter of the objective

Change: the wait must fit into half of the patience; an opening that one upstream refuses is tried at others that are not known to be full while that takes less than a quarter of the objective.

--- a/internal/steering/admission.go
+++ b/internal/steering/admission.go
@@ -9,10 +9,13 @@
 	// follows an upstream that turns slow within some ten requests.
 	serviceTimeWeight = 0.1
 	// serviceReserve is how many service times a request that is admitted needs
-	// after its wait. Flows that are open already bring requests that cannot be
-	// refused; the reserve keeps room for them, so that they are answered in time
-	// as well.
-	serviceReserve = 5
+	// after its wait, so that most of them finish in time although service
+	// times differ.
+	serviceReserve = 1.5
+	// patienceShare is the part of a caller's patience that an opening may use.
+	// Flows that are open already bring requests that cannot be refused; the
+	// rest is for them, so that they are answered in time as well.
+	patienceShare = 0.5
 )
 
 // serviceTime estimates how long an upstream works on a request. It answers the
@@ -47,5 +50,5 @@
 	}
 	each := s.estimate()
 	wait := time.Duration(float64(busy-slots+1) / float64(slots) * float64(each))
-	return wait+time.Duration(serviceReserve*float64(each)) <= patience
+	return wait+time.Duration(serviceReserve*float64(each)) <= time.Duration(patienceShare*float64(patience))
 }
--- a/internal/steering/agent_test.go
+++ b/internal/steering/agent_test.go
@@ -174,7 +174,7 @@
 		a.upstream(fromUpstream(port, steering.SYN|steering.ACK, 0))
 		a.caller(fromCaller(port, 10), own)
 	}
-	// 2 slots at 25 ms: 250 ms hold ten rounds of two, five of them in reserve.
+	// 2 slots at 25 ms: half of 250 ms hold five rounds of two, less the reserve.
 	require.GreaterOrEqual(t, taken, 8)
 	require.LessOrEqual(t, taken, 12)
 	require.Equal(t, 50-taken, refused)
--- a/internal/steering/placement.go
+++ b/internal/steering/placement.go
@@ -38,6 +38,10 @@
 	// of after an exchange with three upstreams; two or three requests end
 	// meanwhile.
 	fullTime = 50 * time.Millisecond
+	// searchShare: an opening is tried at further upstreams for this fraction of
+	// the objective of its route. Later the caller is better served by coming
+	// back.
+	searchShare = 4
 	// silentTime is the same for an agent that did not answer at all.
 	silentTime = 1500 * time.Millisecond
 )
@@ -178,11 +182,11 @@
 	candidates := b.members[b.share(e, route)]
 	avoiding, full := false, false
 	for _, t := range candidates {
-		if !t.TakesWork() || slices.Contains(e.tried, t.Address.Addr()) {
+		if t.TakesWork() && now.Before(t.fullUntil) {
+			full = true
 			continue
 		}
-		if now.Before(t.fullUntil) {
-			full = true
+		if !t.TakesWork() || slices.Contains(e.tried, t.Address.Addr()) {
 			continue
 		}
 		if now.Before(t.avoidUntil) {
@@ -199,7 +203,7 @@
 	if best != nil {
 		return best, second != nil && len(e.tried)+1 < maxTries
 	}
-	if full && len(e.tried) == 0 {
+	if full {
 		return nil, true
 	}
 	if avoiding {
@@ -320,7 +324,7 @@
 	if e.state != opening || e.target != t || e.sequence != m.Sequence || len(e.offers) > 0 {
 		return
 	}
-	if m.Verdict == Overloaded {
+	if route := b.routes[e.key.Virtual]; m.Verdict == Overloaded && (route == nil || e.age(now) > route.Objective/searchShare) {
 		b.refuse(e, TooBusy, out)
 		return
 	}
