--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -59,8 +59,8 @@
 	// target opens the membership; founders are then the first members.
 	target   int
 	founders int
-	reads     uint64
-	installs  int
+	reads    uint64
+	installs int
 }
 
 func newCluster(t *testing.T, count int, seed uint64) *cluster {
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -42,6 +42,17 @@
 				},
 				Action: a.online(explainEvents),
 			},
+			{
+				Name: "logs", Usage: "find the decisions about one request in log files, and the likely cause of its failure",
+				Flags: []cli.Flag{
+					textFlag("logs", "", "folder with the log files of all processes"),
+					&cli.StringFlag{Name: "request", Usage: "id of the request"},
+					&cli.StringFlag{Name: "caller", Usage: "ADDRESS:PORT of the caller, where the id is not known"},
+					&cli.StringFlag{Name: "at", Usage: "time of the failure (RFC 3339), with --caller"},
+					textFlag("window", "10s", "how long before and after the failure lines are shown"),
+				},
+				Action: a.offline(explainLogs),
+			},
 		},
 	}
 }
--- a/internal/steering/agent_test.go
+++ b/internal/steering/agent_test.go
@@ -116,8 +116,8 @@
 		want    steering.Verdict
 	}{
 		"restarted agent does not know its upstream": {func(*agentRun) {}, own, steering.Unready},
-		"upstream is leaving": {func(a *agentRun) { a.Announce(announcement(1, 0, view.Leaving)) }, last(own), steering.Leaving},
-		"upstream has ended":  {func(a *agentRun) { a.Announce(announcement(1, 0, view.Left)) }, last(own), steering.Leaving},
+		"upstream is leaving":                        {func(a *agentRun) { a.Announce(announcement(1, 0, view.Leaving)) }, last(own), steering.Leaving},
+		"upstream has ended":                         {func(a *agentRun) { a.Announce(announcement(1, 0, view.Left)) }, last(own), steering.Leaving},
 		"leaving upstream announces ready late": {func(a *agentRun) {
 			a.Announce(announcement(1, 5, view.Leaving))
 			a.Announce(announcement(1, 4, view.Ready))
