--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -58,7 +58,12 @@
 			Service: cfg.Service, IdleTimeout: agentIdleTimeout, MaxFlows: maxAgentFlows, Started: time.Now(),
 		}),
 	}
-	n.due = func(now time.Time) { a.decide(func() { a.core.Tick(now, &a.actions) }) }
+	n.due = func(now time.Time) {
+		a.decide(func() { a.core.Tick(now, &a.actions) })
+		busy, flows := a.core.Load()
+		a.gauge("flows", flows)
+		a.gauge("requests", busy)
+	}
 	n.deadline = a.core.Deadline
 	handle(n.link, kindSteering, n.rejected, a.message)
 	handle(n.link, kindAnswer, n.rejected, a.answer)
--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -60,7 +60,12 @@
 		node: n, packets: packets, outcomes: newOutcomes(env.Registry),
 		core: steering.NewBalancer(steering.BalancerConfig{Zone: cfg.Zone, MaxFlows: maxBalancerFlows, Random: newRandom()}),
 	}
-	n.due = func(now time.Time) { b.decide(func() { b.core.Tick(now, &b.actions) }) }
+	n.due = func(now time.Time) {
+		b.decide(func() { b.core.Tick(now, &b.actions) })
+		b.gauge("flows", b.core.Flows())
+		b.gauge("upstreams.ready", b.core.ReadyUpstreams())
+		b.gauge("desired.version", int(b.version))
+	}
 	n.deadline = b.core.Deadline
 	handle(n.link, kindSteering, n.rejected, b.message)
 	handle(n.link, kindAnswer, n.rejected, b.answer)
@@ -197,6 +202,9 @@
 	if m.Kind == steering.Rejected || m.Kind == steering.NotFound {
 		b.Decisions.Important(decisionlog.Line{At: now, Event: m.Kind.String(), Reason: m.Verdict.String(), Flow: m.Flow, Peer: from, Load: int(m.Load)})
 	}
+	if age, opening := b.core.OpeningAge(now, m.Flow); opening && m.Kind == steering.Accepted {
+		b.observeTime("openings.us", age)
+	}
 	b.decide(func() { b.core.Message(now, from, m, &b.actions) })
 	b.plan(now)
 }
--- a/internal/fabric/control.go
+++ b/internal/fabric/control.go
@@ -65,6 +65,7 @@
 	n.due = func(now time.Time) {
 		c.sendAnswers(c.server.Tick(now))
 		c.updateContacts()
+		c.gauge("desired.version", int(c.server.Version))
 	}
 	n.deadline = c.server.Deadline
 	handle(n.link, kindAsk, n.rejected, c.asked)
@@ -317,10 +318,12 @@
 
 // Propose decides a desired state.
 func (c *Control) Propose(ctx context.Context, d *intent.Desired) (result intent.Result, err error) {
+	began := time.Now()
 	err = c.atLeader(ctx, func(ctx context.Context, q *control.Quorum) error {
 		result, err = q.Propose(ctx, intent.Change{Kind: intent.KindDesired, Desired: d})
 		return err
 	})
+	c.observeTime("proposals.us", time.Since(began))
 	entry := c.Log.WithFields(logrus.Fields{"version": d.Version, "routes": len(d.Routes), "outcome": result.Outcome})
 	if err != nil {
 		entry = entry.WithError(err)
--- a/internal/fabric/node.go
+++ b/internal/fabric/node.go
@@ -131,6 +131,19 @@
 
 func (n *node) count(name string) { metrics.GetOrRegisterCounter(name, n.Registry).Inc(1) }
 
+// histogramSamples bounds the memory of a histogram to some kilobytes.
+const histogramSamples = 256
+
+// observeTime adds a duration in microseconds to a histogram.
+func (n *node) observeTime(name string, took time.Duration) {
+	h := n.Registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewUniformSample(histogramSamples))
+	})
+	if histogram, ok := h.(metrics.Histogram); ok {
+		histogram.Update(took.Microseconds())
+	}
+}
+
 func (n *node) gauge(name string, value int) {
 	metrics.GetOrRegisterGauge(name, n.Registry).Update(int64(value))
 }
--- a/internal/steering/agent_test.go
+++ b/internal/steering/agent_test.go
@@ -125,7 +125,8 @@
 		}, last(own), steering.Leaving},
 		"another service": {
 			func(a *agentRun) { a.Announce(announcement(1, 0, view.Ready)) },
-			steering.Mark{Service: steering.ServiceTag(drying), Last: true}, steering.Foreign,
+			steering.Mark{Service: steering.ServiceTag(drying), Last: true},
+			steering.Foreign,
 		},
 		"slots in use, others left": {busyAgent, own, steering.Busy},
 	} {
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -139,6 +139,16 @@
 	return b.desired.Version
 }
 
+// OpeningAge returns how long an opening has waited for an upstream, and whether
+// it still does.
+func (b *Balancer) OpeningAge(now time.Time, key flow.Key) (age time.Duration, waits bool) {
+	e := b.flows[key]
+	if e == nil || e.state != opening {
+		return 0, false
+	}
+	return now.Sub(e.startedAt), true
+}
+
 // Flows returns how many flows are remembered.
 func (b *Balancer) Flows() int { return len(b.flows) }
 
--- a/internal/steering/balancer_test.go
+++ b/internal/steering/balancer_test.go
@@ -236,17 +236,15 @@
 			b.SetUpstreams([]steering.Upstream{upstream(1, orders, near, view.Ready), upstream(2, orders, far, view.Ready)}, c.complete)
 			search := func() []steering.Action {
 				b.packet(fromCaller(1, 10))
-				actions := b.tell(1, steering.Message{Kind: steering.Located, Verdict: steering.HoldsNot})
+				b.tell(1, steering.Message{Kind: steering.Located, Verdict: steering.HoldsNot})
 				switch c.second {
 				case 0:
-					actions = b.wait()
+					return b.wait()
 				case steering.Unsure:
 					b.tell(2, steering.Message{Kind: steering.Located, Verdict: steering.Unsure})
-					actions = b.tell(2, steering.Message{Kind: steering.NotFound})
-				default:
-					actions = b.tell(2, steering.Message{Kind: steering.Located, Verdict: c.second})
+					return b.tell(2, steering.Message{Kind: steering.NotFound})
 				}
-				return actions
+				return b.tell(2, steering.Message{Kind: steering.Located, Verdict: c.second})
 			}
 			first := search()
 			require.Len(t, first, 1)
