steering: a late answer of the holder counts, and no search settles on an agent while others are silent

Behind a link of 4.6 Mbit/s the holder answered after the 150 ms of a search, was ignored, and the only unsure agent that had not denied the flow yet was taken for the holder. Change: Holds settles a flow also after the search has ended; a trial settles on the last agent only if every other one has denied the flow. Test: TestLateAnswerOfTheHolder fails before in all three cases.

--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -85,8 +85,10 @@
 	search *search
 	held   [][]byte
 	ack    uint32
-	// missedAt is when the first of two searches found no holder.
+	// missedAt is when the last search found no holder; denied says that every
+	// upstream denied the flow in it.
 	missedAt time.Time
+	denied   bool
 }
 
 // offer is an upstream that has answered the opening.
--- a/internal/steering/balancer_test.go
+++ b/internal/steering/balancer_test.go
@@ -216,6 +216,35 @@
 	require.Equal(t, agentAddress(2), b.packet(fromCaller(1, 30))[0].To)
 }
 
+// Guards against a flow that stays with an upstream that does not hold it,
+// because the answer of the holder came late over a full link.
+func TestLateAnswerOfTheHolder(t *testing.T) {
+	for name, c := range map[string]struct{ second steering.Verdict }{
+		"nobody else may hold it":  {steering.HoldsNot},
+		"another agent is unsure":  {steering.Unsure},
+		"no agent answers in time": {0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBalancerRun(t, upstream(1, orders, near, view.Ready), upstream(2, orders, far, view.Ready))
+			b.packet(fromCaller(1, 10))
+			if c.second != 0 {
+				b.tell(2, steering.Message{Kind: steering.Located, Verdict: c.second})
+			}
+			b.wait()
+			if c.second == steering.Unsure {
+				b.wait()
+				for _, a := range b.packet(fromCaller(1, 20)) {
+					require.NotEqual(t, steering.Forward, a.Kind, "the silent agent may hold the flow")
+				}
+			}
+			b.tell(1, steering.Message{Kind: steering.Located, Verdict: steering.Holds})
+			actions := b.packet(fromCaller(1, 30))
+			require.Equal(t, steering.Forward, actions[0].Kind)
+			require.Equal(t, agentAddress(1), actions[0].To)
+		})
+	}
+}
+
 // Guards against silence about a dead flow, which keeps its caller waiting until
 // the end of its time, and against the reset of a flow that may live.
 func TestDeadFlowIsReset(t *testing.T) {
--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -39,15 +39,18 @@
 }
 
 func (b *Balancer) located(now time.Time, e *entry, t *target, m *Message, out *[]Action) {
+	if m.Verdict == Holds {
+		// Also late: the holder knows best.
+		if e.state == locating || e.state == trying || e.state == missing {
+			b.settle(e, t, Found, out)
+		}
+		return
+	}
 	if e.search == nil {
 		return
 	}
 	e.search.waiting--
-	switch m.Verdict {
-	case Holds:
-		b.settle(e, t, Found, out)
-		return
-	case Unsure:
+	if m.Verdict == Unsure && e.state == locating {
 		e.search.unsure = append(e.search.unsure, t)
 	}
 	if e.search.waiting <= 0 && e.state == locating {
@@ -57,11 +60,11 @@
 
 // settle sends what has waited to the holder.
 func (b *Balancer) settle(e *entry, t *target, reason Reason, out *[]Action) {
-	if e.state == trying {
+	if e.state == trying && len(e.held) > 0 {
 		// The holder has had the first one.
 		e.held = e.held[1:]
 	}
-	e.state, e.target, e.search, e.deadline, e.missedAt = settled, t, nil, time.Time{}, time.Time{}
+	e.state, e.target, e.search, e.deadline, e.denied = settled, t, nil, time.Time{}, false
 	b.release(e, reason, out)
 }
 
@@ -89,10 +92,10 @@
 	}
 }
 
-// trialEnded settles on the agent that has not denied the flow, if it is the
-// only one.
+// trialEnded settles on the agent that has not denied the flow, if all others
+// have.
 func (b *Balancer) trialEnded(now time.Time, e *entry, out *[]Action) {
-	if len(e.search.unsure) != 1 {
+	if len(e.search.unsure) != 1 || e.search.waiting > 0 {
 		b.notHeld(now, e, out)
 		return
 	}
@@ -104,16 +107,12 @@
 func (b *Balancer) notHeld(now time.Time, e *entry, out *[]Action) {
 	certain := b.complete && e.search.waiting == 0 && len(e.search.unsure) == 0 && !e.reset
 	e.held, e.search, e.target = nil, nil, nil
-	switch {
-	case !certain:
-		delete(b.flows, e.key)
-	case e.missedAt.IsZero():
-		e.state, e.missedAt, e.deadline = missing, now, time.Time{}
-	default:
+	if certain && e.denied {
 		delete(b.flows, e.key)
 		*out = append(*out, Action{Kind: Reset, Reason: NobodyHolds, Flow: e.key, Sequence: e.ack})
 		return
 	}
+	e.state, e.denied, e.missedAt, e.deadline = missing, certain, now, time.Time{}
 	*out = append(*out, Action{Kind: Drop, Reason: NotHeld, Flow: e.key})
 }
 
