steering: uploads leave room on the link of the entry VM

Change: a balancer refuses openings of uploads at once while more than 70 % of its link is in use; their callers come back from another port and mostly reach another VM.

--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -58,7 +58,7 @@
 	}
 	b := &Balancer{
 		node: n, packets: packets, outcomes: newOutcomes(env.Registry),
-		core: steering.NewBalancer(steering.BalancerConfig{Zone: cfg.Zone, MaxFlows: maxBalancerFlows, Random: newRandom()}),
+		core: steering.NewBalancer(steering.BalancerConfig{Zone: cfg.Zone, MaxFlows: maxBalancerFlows, Random: newRandom(), LinkBitsPerSecond: cfg.LinkBitsPerSecond}),
 	}
 	n.due = func(now time.Time) {
 		b.decide(func() { b.core.Tick(now, &b.actions) })
--- a/internal/fabric/config.go
+++ b/internal/fabric/config.go
@@ -44,9 +44,11 @@
 	Counted bool
 	Losses  int
 	// DataFolder is empty on a VM without a disk.
-	DataFolder      string
-	MemoryBytes     int64
-	CheckInInterval time.Duration
+	DataFolder  string
+	MemoryBytes int64
+	// LinkBitsPerSecond is the rate of the VM's network link.
+	LinkBitsPerSecond float64
+	CheckInInterval   time.Duration
 	// Grace is the time between the request to stop and the end by force.
 	Grace time.Duration
 	// Contact is after which time without disturbance a VM counts as in
--- a/internal/logsearch/cause.go
+++ b/internal/logsearch/cause.go
@@ -3,6 +3,7 @@
 // causes names what an event means for the caller, the most telling first.
 var causes = []struct{ event, reason, meaning string }{
 	{"reset", "overloaded", "refused: every upstream that was asked had its slots in use and could not answer within the objective; the request has not run"},
+	{"reset", "link_full", "refused: the link of the entry VM had no room for another upload; the request has not run"},
 	{"reset", "no_upstream", "refused: no upstream of the service takes work; the request has not run"},
 	{"reset", "no_route", "refused: the desired state has no route for the virtual address"},
 	{"reset", "no_desired_state", "refused: the balancer had just started and knew no desired state; the request has not run"},
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -41,7 +41,9 @@
 	Zone zone.ID
 	// MaxFlows bounds the remembered flows.
 	MaxFlows int
-	Random   *rand.Rand
+	// LinkBitsPerSecond is the rate of the VM's link; zero if it is unknown.
+	LinkBitsPerSecond float64
+	Random            *rand.Rand
 }
 
 type flowState uint8
@@ -116,6 +118,7 @@
 	// due holds what times out, in the order in which it was planned.
 	due     []timer
 	sweepAt time.Time
+	link    linkMeter
 	// complete is set when the directory has told all upstreams.
 	complete bool
 }
@@ -128,7 +131,7 @@
 // NewBalancer returns a balancer without routes and upstreams.
 func NewBalancer(cfg BalancerConfig) *Balancer {
 	return &Balancer{
-		cfg: cfg, routes: map[netip.AddrPort]*intent.Route{}, removed: map[netip.AddrPort]bool{},
+		cfg: cfg, link: newLinkMeter(cfg.LinkBitsPerSecond), routes: map[netip.AddrPort]*intent.Route{}, removed: map[netip.AddrPort]bool{},
 		targets: map[netip.Addr]*target{}, members: map[service.Name][]*target{}, flows: map[flow.Key]*entry{},
 	}
 }
@@ -176,6 +179,7 @@
 
 // Packet decides about a packet of a caller.
 func (b *Balancer) Packet(now time.Time, p *Packet, data []byte, out *[]Action) {
+	b.link.add(now, len(data))
 	route := b.routes[p.Flow.Virtual]
 	if p.Opens() {
 		b.open(now, route, p, data, out)
--- a/internal/steering/balancer_test.go
+++ b/internal/steering/balancer_test.go
@@ -315,3 +315,42 @@
 	}
 	require.Zero(t, b.Flows())
 }
+
+// Guards against uploads that fill a slow link: their losses and those of small
+// requests cost 200 ms and more each. Openings of uploads are refused while the
+// link is nearly full, those of other requests are not.
+func TestUploadsLeaveRoomOnTheLink(t *testing.T) {
+	b := newBalancerRun(t)
+	b.Balancer = steering.NewBalancer(steering.BalancerConfig{
+		Zone: near, MaxFlows: 1000, Random: rand.New(rand.NewPCG(1, 2)), LinkBitsPerSecond: 4.6e6,
+	})
+	d := desired(1, intent.Share{Service: orders, Weight: 1})
+	d.Routes = append(d.Routes, d.Routes[0])
+	d.Routes[0].Kind = intent.Upload
+	d.Routes[1].Virtual = netip.MustParseAddrPort("198.18.0.2:443")
+	b.SetDesired(d)
+	b.SetUpstreams([]steering.Upstream{upstream(1, orders, near, view.Ready)}, true)
+	small := syn(500)
+	small.Flow.Virtual = d.Routes[1].Virtual
+	b.packet(syn(1))
+	b.tell(1, steering.Message{Kind: steering.Accepted, Sequence: answerSeq})
+
+	// 4.6 Mbit/s carry 115,000 bytes in 200 ms; an upload of 60 % of that leaves
+	// room, one of 90 % does not.
+	for _, c := range []struct {
+		packets int
+		refused bool
+	}{{55, false}, {85, true}, {55, false}} {
+		for range 3 {
+			for range c.packets {
+				b.Packet(b.now, fromCaller(1, 1200), make([]byte, 1236), &b.actions)
+				b.now = b.now.Add(200 * time.Millisecond / time.Duration(c.packets))
+			}
+		}
+		b.take()
+		upload := b.packet(syn(uint16(100 + c.packets)))[0]
+		require.Equal(t, c.refused, upload.Reason == steering.LinkFull, "%d packets", c.packets)
+		small.Flow.Caller = netip.AddrPortFrom(small.Flow.Caller.Addr(), uint16(600+c.packets))
+		require.Equal(t, steering.Forward, b.packet(small)[0].Kind)
+	}
+}
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -85,6 +85,7 @@
 	NoRoute         Reason = "no_route"
 	RouteRemoved    Reason = "route_removed"
 	NoUpstream      Reason = "no_upstream"
+	LinkFull        Reason = "link_full"
 	TooBusy         Reason = "overloaded"
 	NoneAnswered    Reason = "none_answered"
 	NoDesired       Reason = "no_desired_state"
--- a/internal/steering/placement.go
+++ b/internal/steering/placement.go
@@ -141,6 +141,10 @@
 		b.reset(p, NoRoute, out)
 		return
 	}
+	if route.Kind == intent.Upload && b.link.full(now) {
+		b.reset(p, LinkFull, out)
+		return
+	}
 	e = b.add(now, p.Flow)
 	e.sequence, e.first = p.Sequence, slices.Clone(data)
 	e.callerAge = copyAge(p)
