--- a/internal/steering/link.go
+++ b/internal/steering/link.go
@@ -9,10 +9,12 @@
 	// linkShare is the part of the link above which openings of uploads are
 	// refused. Uploads that are open then still finish, and small requests find
 	// room.
-	linkShare = 0.7
+	linkShare = 0.5
 	// packetOverhead is what a packet takes on the link beside its own bytes: the
 	// headers of IP and UDP.
 	packetOverhead = 28
+	// linkCrossings: a packet comes in and goes out over the same link.
+	linkCrossings = 2
 )
 
 // linkMeter measures how much of the VM's link the packets of callers take. It
@@ -35,7 +37,7 @@
 // add counts a packet.
 func (m *linkMeter) add(now time.Time, size int) {
 	m.turn(now)
-	m.bytes += float64(size + packetOverhead)
+	m.bytes += float64(linkCrossings * (size + packetOverhead))
 }
 
 func (m *linkMeter) turn(now time.Time) {
