--- a/internal/agent/renewal.go
+++ b/internal/agent/renewal.go
@@ -16,7 +16,7 @@
 	shardsPerRenewal = 8
 	// renewalAge is the age from which a flow is part of a sum: messages about
 	// younger ones may be under way.
-	renewalAge = 3 * time.Second
+	renewalAge = 2 * time.Second
 )
 
 // renewals paces the renewal of registrations. A renewal sends a sum over the
