steering: questions of a search are repeated; no trial while another agent is silent

Change: agents that have not answered are asked again twice within a search; in the first search nobody is tried while another agent is silent. Test: TestLostQuestionsAreRepeated fails before.

--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -20,9 +20,14 @@
 	// openingLifetime is when a caller gives an opening up: 800 ms after its
 	// last copy, which is sent after 600 ms.
 	openingLifetime = 1400 * time.Millisecond
-	// locateTimeout is how long agents may take to answer a question, below the
-	// first retransmission interval (200 ms).
-	locateTimeout = 150 * time.Millisecond
+	// locateInterval is how long agents may take to answer a question before
+	// those that have not are asked again, and locateTries how often they are
+	// asked. Together they stay below the first retransmission interval (200 ms).
+	locateInterval = 50 * time.Millisecond
+	locateTries    = 3
+	// trialTimeout is how long an upstream may take to return a packet that it is
+	// tried with.
+	trialTimeout = 150 * time.Millisecond
 	// missPause lies between two searches for a flow that nobody seems to hold.
 	// Meanwhile a balancer learns of an upstream that it did not know; it is
 	// shorter than the first retransmission interval (200 ms).
@@ -101,8 +106,11 @@
 
 // search collects the answers to a Locate.
 type search struct {
-	waiting int
-	unsure  []*target
+	// silent are the agents that have not answered, unsure those that may hold
+	// the flow.
+	silent []*target
+	unsure []*target
+	tries  int
 }
 
 // Balancer decides for a process on an entry VM.
@@ -355,7 +363,7 @@
 	case waiting:
 		b.tryAgain(now, e, out)
 	case locating:
-		b.searchEnded(now, e, out)
+		b.askAgain(now, e, out)
 	case trying:
 		b.trialEnded(now, e, out)
 	case settled, missing:
--- a/internal/steering/balancer_test.go
+++ b/internal/steering/balancer_test.go
@@ -203,6 +203,28 @@
 	require.Equal(t, agentAddress(2), b.packet(fromCaller(1, 30))[0].To)
 }
 
+// Guards against packets that go to upstreams which may be the wrong ones while
+// the question to the holder, or its answer, was lost on a full link.
+func TestLostQuestionsAreRepeated(t *testing.T) {
+	b := newBalancerRun(t, upstream(1, orders, near, view.Ready), upstream(2, orders, far, view.Ready))
+	b.packet(fromCaller(1, 10))
+	b.tell(2, steering.Message{Kind: steering.Located, Verdict: steering.Unsure})
+	for range 2 {
+		actions := b.wait()
+		require.Len(t, actions, 1, "only the agent that has not answered is asked again")
+		require.Equal(t, agentAddress(1), actions[0].To)
+		require.Equal(t, steering.Locate, actions[0].Message.Kind)
+	}
+	require.Less(t, b.now.Sub(start), 200*time.Millisecond)
+	for _, a := range b.wait() {
+		require.NotEqual(t, steering.Forward, a.Kind, "no agent is tried while another is silent")
+	}
+	b.now = b.now.Add(400 * time.Millisecond)
+	require.Len(t, b.packet(fromCaller(1, 10)), 2)
+	actions := b.tell(1, steering.Message{Kind: steering.Located, Verdict: steering.Holds})
+	require.Equal(t, agentAddress(1), actions[0].To)
+}
+
 // Guards against a flow that is given up because its agent has just restarted.
 func TestUnsureAgentsAreTried(t *testing.T) {
 	b := newBalancerRun(t, upstream(1, orders, near, view.Ready), upstream(2, orders, far, view.Ready))
@@ -230,9 +252,10 @@
 			if c.second != 0 {
 				b.tell(2, steering.Message{Kind: steering.Located, Verdict: c.second})
 			}
-			b.wait()
-			if c.second == steering.Unsure {
+			for range 3 {
 				b.wait()
+			}
+			if c.second == steering.Unsure {
 				for _, a := range b.packet(fromCaller(1, 20)) {
 					require.NotEqual(t, steering.Forward, a.Kind, "the silent agent may hold the flow")
 				}
@@ -268,6 +291,8 @@
 				b.tell(1, steering.Message{Kind: steering.Located, Verdict: steering.HoldsNot})
 				switch c.second {
 				case 0:
+					b.wait()
+					b.wait()
 					return b.wait()
 				case steering.Unsure:
 					b.tell(2, steering.Message{Kind: steering.Located, Verdict: steering.Unsure})
--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -21,21 +21,38 @@
 		b.hold(e, data, out)
 	}
 	for _, t := range b.targets {
-		if t.Status == view.Left {
-			continue
+		if t.Status != view.Left {
+			e.search.silent = append(e.search.silent, t)
 		}
-		e.search.waiting++
+	}
+	if len(e.search.silent) == 0 {
+		delete(b.flows, e.key)
+		*out = append(*out, Action{Kind: Drop, Reason: NoUpstream, Flow: e.key})
+		return
+	}
+	b.ask(now, e, out)
+}
+
+// ask sends the question to the agents that have not answered.
+func (b *Balancer) ask(now time.Time, e *entry, out *[]Action) {
+	e.search.tries++
+	for _, t := range e.search.silent {
 		*out = append(*out, Action{
 			Kind: Tell, Reason: Tried, Flow: e.key, To: t.Address.Addr(),
-			Message: Message{Kind: Locate, Flow: e.key, Ack: p.Ack},
+			Message: Message{Kind: Locate, Flow: e.key, Ack: e.ack},
 		})
 	}
-	if e.search.waiting == 0 {
-		delete(b.flows, e.key)
-		*out = append(*out, Action{Kind: Drop, Reason: NoUpstream, Flow: e.key})
+	b.plan(e, now.Add(locateInterval))
+}
+
+// askAgain repeats the question, whose packets or answers may be lost on a full
+// link, or ends the search.
+func (b *Balancer) askAgain(now time.Time, e *entry, out *[]Action) {
+	if e.search.tries < locateTries {
+		b.ask(now, e, out)
 		return
 	}
-	b.plan(e, now.Add(locateTimeout))
+	b.searchEnded(now, e, out)
 }
 
 func (b *Balancer) located(now time.Time, e *entry, t *target, m *Message, out *[]Action) {
@@ -49,11 +66,15 @@
 	if e.search == nil {
 		return
 	}
-	e.search.waiting--
-	if m.Verdict == Unsure && e.state == locating {
+	before := len(e.search.silent)
+	e.search.silent = slices.DeleteFunc(e.search.silent, func(other *target) bool { return other == t })
+	if e.state != locating || len(e.search.silent) == before {
+		return
+	}
+	if m.Verdict == Unsure {
 		e.search.unsure = append(e.search.unsure, t)
 	}
-	if e.search.waiting <= 0 && e.state == locating {
+	if len(e.search.silent) == 0 {
 		b.searchEnded(now, e, out)
 	}
 }
@@ -64,7 +85,8 @@
 		// The holder has had the first one.
 		e.held = e.held[1:]
 	}
-	e.state, e.target, e.search, e.deadline, e.denied = settled, t, nil, time.Time{}, false
+	e.state, e.target, e.search = settled, t, nil
+	e.deadline, e.denied, e.missedAt = time.Time{}, false, time.Time{}
 	b.release(e, reason, out)
 }
 
@@ -76,15 +98,17 @@
 }
 
 // searchEnded tries the agents that are unsure: each gets the first packet that
-// waits, and its upstream returns it unless it holds the flow. Without such
-// agents notHeld decides.
+// waits, and its upstream returns it unless it holds the flow. While another
+// agent has not answered, it may be the holder, and nobody is tried in the first
+// search. Without agents to try notHeld decides.
 func (b *Balancer) searchEnded(now time.Time, e *entry, out *[]Action) {
-	if len(e.search.unsure) == 0 || len(e.held) == 0 {
+	first := e.missedAt.IsZero()
+	if len(e.search.unsure) == 0 || len(e.held) == 0 || (first && len(e.search.silent) > 0) {
 		b.notHeld(now, e, out)
 		return
 	}
 	e.state = trying
-	b.plan(e, now.Add(locateTimeout))
+	b.plan(e, now.Add(trialTimeout))
 	for _, t := range e.search.unsure {
 		*out = append(*out, Action{
 			Kind: Forward, Reason: Tried, Flow: e.key, To: t.Address.Addr(), Data: e.held[0], Mark: Mark{Service: t.tag},
@@ -95,7 +119,7 @@
 // trialEnded settles on the agent that has not denied the flow, if all others
 // have.
 func (b *Balancer) trialEnded(now time.Time, e *entry, out *[]Action) {
-	if len(e.search.unsure) != 1 || e.search.waiting > 0 {
+	if len(e.search.unsure) != 1 || len(e.search.silent) > 0 {
 		b.notHeld(now, e, out)
 		return
 	}
@@ -105,7 +129,7 @@
 // notHeld ends a search without a holder. The caller is told only after a second
 // search has ended like this, and if every upstream has answered both times.
 func (b *Balancer) notHeld(now time.Time, e *entry, out *[]Action) {
-	certain := b.complete && e.search.waiting == 0 && len(e.search.unsure) == 0 && !e.reset
+	certain := b.complete && len(e.search.silent) == 0 && len(e.search.unsure) == 0 && !e.reset
 	e.held, e.search, e.target = nil, nil, nil
 	if certain && e.denied {
 		delete(b.flows, e.key)
