--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -28,11 +28,10 @@
 
 // Agent runs beside an upstream.
 type Agent struct {
-	*node
+	packetRunner
 	core     *steering.Agent
 	packets  *net.UDPConn
 	outbound *net.UDPConn
-	actions  []steering.Action
 	// outcomes counts actions by kind and reason.
 	outcomes outcomes
 	stopping bool
@@ -53,19 +52,20 @@
 		return nil, errors.Join(fmt.Errorf("open outbound socket: %w", err), packets.Close(), n.close())
 	}
 	a := &Agent{
-		node: n, packets: packets, outbound: outbound, outcomes: newOutcomes(env.Registry),
+		packetRunner: packetRunner{node: n}, packets: packets, outbound: outbound, outcomes: newOutcomes(env.Registry),
 		core: steering.NewAgent(steering.AgentConfig{
 			Service: cfg.Service, IdleTimeout: agentIdleTimeout, MaxFlows: maxAgentFlows, Started: time.Now(),
 		}),
 	}
 	n.due = func(now time.Time) {
-		a.decide(func() { a.core.Tick(now, &a.actions) })
+		a.decide(now, func(out *[]steering.Action) { a.core.Tick(now, out) })
 		busy, flows := a.core.Load()
 		a.gauge("flows", flows)
 		a.gauge("requests", busy)
 	}
 	n.deadline = a.core.Deadline
-	handle(n.link, kindSteering, n.rejected, a.message)
+	a.execute = a.carryOut
+	handle(n.link, kindSteering, n.rejected, a.balancerAsked)
 	handle(n.link, kindAnswer, n.rejected, a.answer)
 	return a, nil
 }
@@ -75,8 +75,8 @@
 func (a *Agent) Run(ctx context.Context) error {
 	group := errgroup.Group{}
 	group.Go(a.link.receive)
-	group.Go(a.receivePackets)
-	group.Go(a.receiveOutbound)
+	group.Go(func() error { return a.receivePackets(a.packets, false, a.callerPacket) })
+	group.Go(func() error { return a.receivePackets(a.outbound, true, a.upstreamPacket) })
 	a.tell(func(*directory.Record) {})
 	<-ctx.Done()
 	a.tell(func(r *directory.Record) {
@@ -139,63 +139,19 @@
 	return known && current.Status == view.Ready && !a.stopping
 }
 
-func (a *Agent) receivePackets() error {
-	buffer := make([]byte, receiveBytes)
-	var p steering.Packet
-	for {
-		n, from, err := a.packets.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			continue
-		}
-		data := buffer[:n]
-		if a.Codec.Decode(data, false, &p) != nil {
-			continue
-		}
-		mark, ok := a.Codec.TakeMark(data)
-		if !ok {
-			continue
-		}
-		a.mu.Lock()
-		now := time.Now()
-		a.decide(func() { a.core.FromBalancer(now, &p, mark, from.Addr().Unmap(), data, &a.actions) })
-		a.plan(now)
-		a.mu.Unlock()
-	}
-}
-
-func (a *Agent) receiveOutbound() error {
-	buffer := make([]byte, receiveBytes)
-	var p steering.Packet
-	for {
-		n, _, err := a.outbound.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			continue
-		}
-		data := buffer[:n]
-		if a.Codec.Decode(data, true, &p) != nil {
-			continue
-		}
-		a.mu.Lock()
-		now := time.Now()
-		a.decide(func() { a.core.FromUpstream(now, &p, data, &a.actions) })
-		a.plan(now)
-		a.mu.Unlock()
+// callerPacket decides about a packet that a balancer has marked. Others are not
+// for this agent.
+func (a *Agent) callerPacket(now time.Time, p *steering.Packet, data []byte, from netip.Addr, out *[]steering.Action) {
+	mark, ok := a.Codec.TakeMark(data)
+	if !ok {
+		a.count("packets.unmarked")
+		return
 	}
+	a.core.FromBalancer(now, p, mark, from, data, out)
 }
 
-// decide runs a decision and carries out its actions. The lock is held.
-func (a *Agent) decide(decision func()) {
-	a.actions = a.actions[:0]
-	decision()
-	for i := range a.actions {
-		a.execute(&a.actions[i])
-	}
+func (a *Agent) upstreamPacket(now time.Time, p *steering.Packet, data []byte, _ netip.Addr, out *[]steering.Action) {
+	a.core.FromUpstream(now, p, data, out)
 }
 
 // observe counts an action and writes a line about it if it decides something
@@ -229,7 +185,8 @@
 	}
 }
 
-func (a *Agent) execute(action *steering.Action) {
+// carryOut does what a decision asks for. The lock is held.
+func (a *Agent) carryOut(action *steering.Action) {
 	a.observe(action)
 	switch action.Kind {
 	case steering.Deliver:
@@ -252,12 +209,9 @@
 	a.lost(err)
 }
 
-func (a *Agent) message(from netip.Addr, m *steering.Message) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := time.Now()
-	a.decide(func() { a.core.Message(now, from, m, &a.actions) })
-	a.plan(now)
+// balancerAsked takes a question of a balancer.
+func (a *Agent) balancerAsked(from netip.Addr, m *steering.Message) {
+	a.message(func(now time.Time, out *[]steering.Action) { a.core.Message(now, from, m, out) })
 }
 
 func (a *Agent) answer(from netip.Addr, answer *directory.Answer) {
--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -35,10 +35,9 @@
 
 // Balancer runs on an entry VM.
 type Balancer struct {
-	*node
+	packetRunner
 	core    *steering.Balancer
 	packets *net.UDPConn
-	actions []steering.Action
 	// outcomes counts actions by kind and reason.
 	outcomes outcomes
 	joined   time.Time
@@ -57,17 +56,18 @@
 		return nil, errors.Join(fmt.Errorf("open packet socket: %w", err), n.close())
 	}
 	b := &Balancer{
-		node: n, packets: packets, outcomes: newOutcomes(env.Registry),
+		packetRunner: packetRunner{node: n}, packets: packets, outcomes: newOutcomes(env.Registry),
 		core: steering.NewBalancer(steering.BalancerConfig{Zone: cfg.Zone, MaxFlows: maxBalancerFlows, Random: newRandom(), LinkBitsPerSecond: cfg.LinkBitsPerSecond}),
 	}
 	n.due = func(now time.Time) {
-		b.decide(func() { b.core.Tick(now, &b.actions) })
+		b.decide(now, func(out *[]steering.Action) { b.core.Tick(now, out) })
 		b.gauge("flows", b.core.Flows())
 		b.gauge("upstreams.ready", b.core.ReadyUpstreams())
 		b.gauge("desired.version", int(b.version))
 	}
 	n.deadline = b.core.Deadline
-	handle(n.link, kindSteering, n.rejected, b.message)
+	b.execute = b.carryOut
+	handle(n.link, kindSteering, n.rejected, b.agentAnswered)
 	handle(n.link, kindAnswer, n.rejected, b.answer)
 	n.link.handlers[kindDesired] = b.desired
 	return b, nil
@@ -78,7 +78,7 @@
 func (b *Balancer) Run(ctx context.Context) error {
 	group := errgroup.Group{}
 	group.Go(b.link.receive)
-	group.Go(b.receivePackets)
+	group.Go(func() error { return b.receivePackets(b.packets, false, b.callerPacket) })
 	b.announce(view.Ready)
 	<-ctx.Done()
 	b.stop()
@@ -123,40 +123,13 @@
 	return b.core.ReadyUpstreams() > 0 || time.Since(b.joined) > firstUpstreams
 }
 
-func (b *Balancer) receivePackets() error {
-	buffer := make([]byte, receiveBytes)
-	var p steering.Packet
-	for {
-		n, _, err := b.packets.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			continue
-		}
-		data := buffer[:n]
-		if b.Codec.Decode(data, false, &p) != nil {
-			continue
-		}
-		b.mu.Lock()
-		now := time.Now()
-		b.last = now
-		b.decide(func() { b.core.Packet(now, &p, data, &b.actions) })
-		b.plan(now)
-		b.mu.Unlock()
-	}
-}
-
-// decide runs a decision and carries out its actions. The lock is held.
-func (b *Balancer) decide(decision func()) {
-	b.actions = b.actions[:0]
-	decision()
-	for i := range b.actions {
-		b.execute(&b.actions[i])
-	}
+func (b *Balancer) callerPacket(now time.Time, p *steering.Packet, data []byte, _ netip.Addr, out *[]steering.Action) {
+	b.last = now
+	b.core.Packet(now, p, data, out)
 }
 
-func (b *Balancer) execute(a *steering.Action) {
+// carryOut does what a decision asks for. The lock is held.
+func (b *Balancer) carryOut(a *steering.Action) {
 	b.observe(a)
 	switch a.Kind {
 	case steering.Forward:
@@ -195,18 +168,17 @@
 	}
 }
 
-func (b *Balancer) message(from netip.Addr, m *steering.Message) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := time.Now()
-	if m.Kind == steering.Rejected || m.Kind == steering.NotFound {
-		b.Decisions.Important(decisionlog.Line{At: now, Event: m.Kind.String(), Reason: m.Verdict.String(), Flow: m.Flow, Peer: from, Load: int(m.Load)})
-	}
-	if age, opening := b.core.OpeningAge(now, m.Flow); opening && m.Kind == steering.Accepted {
-		b.observeTime("openings.us", age)
-	}
-	b.decide(func() { b.core.Message(now, from, m, &b.actions) })
-	b.plan(now)
+// agentAnswered takes a message of an agent.
+func (b *Balancer) agentAnswered(from netip.Addr, m *steering.Message) {
+	b.message(func(now time.Time, out *[]steering.Action) {
+		if m.Kind == steering.Rejected || m.Kind == steering.NotFound {
+			b.Decisions.Important(decisionlog.Line{At: now, Event: m.Kind.String(), Reason: m.Verdict.String(), Flow: m.Flow, Peer: from, Load: int(m.Load)})
+		}
+		if age, opening := b.core.OpeningAge(now, m.Flow); opening && m.Kind == steering.Accepted {
+			b.observeTime("openings.us", age)
+		}
+		b.core.Message(now, from, m, out)
+	})
 }
 
 func (b *Balancer) answer(from netip.Addr, a *directory.Answer) {
@@ -219,7 +191,7 @@
 	}
 	if news.Changed || news.Completed {
 		b.core.SetUpstreams(upstreams(b.client.Upstreams()), b.client.Complete())
-		b.decide(func() { b.core.Resume(now, &b.actions) })
+		b.decide(now, func(out *[]steering.Action) { b.core.Resume(now, out) })
 	}
 	b.plan(now)
 }
@@ -250,8 +222,7 @@
 	defer b.mu.Unlock()
 	if b.core.SetDesired(d) {
 		now := time.Now()
-		b.decide(func() { b.core.Resume(now, &b.actions) })
-		b.plan(now)
+		b.decide(now, func(out *[]steering.Action) { b.core.Resume(now, out) })
 		b.tookVersion(d.Version)
 		b.Log.WithFields(logrus.Fields{"version": d.Version, "routes": len(d.Routes), "control": from}).Info("desired state in force")
 	}
