--- a/internal/fabric/link_test.go
+++ b/internal/fabric/link_test.go
@@ -50,8 +50,14 @@
 func TestBadDatagrams(t *testing.T) {
 	l, got := newTestLink()
 	for _, datagram := range [][]byte{
-		nil, {1}, {0, 0, 0, 0, 1, 0, 0, 0, 1}, {99, 0, 0, 0, 1, 0, 0, 0, 1}, {byte(kindAsk), 0, 0, 0, 1, 0, 1, 0, 1},
-		{byte(kindAsk), 0, 0, 0, 1, 0, 0, 0xff, 0xff}, {byte(kindAsk), 0, 0, 0, 1, 0, 0, 0, 0}, {byte(kindAsk), 0, 0, 0, 1, 0, 0, 0, 1, 0xff},
+		nil,
+		{1},
+		{0, 0, 0, 0, 1, 0, 0, 0, 1},
+		{99, 0, 0, 0, 1, 0, 0, 0, 1},
+		{byte(kindAsk), 0, 0, 0, 1, 0, 1, 0, 1},
+		{byte(kindAsk), 0, 0, 0, 1, 0, 0, 0xff, 0xff},
+		{byte(kindAsk), 0, 0, 0, 1, 0, 0, 0, 0},
+		{byte(kindAsk), 0, 0, 0, 1, 0, 0, 0, 1, 0xff},
 	} {
 		l.take(sender, datagram)
 	}
