steering: searches are bounded and back off

Cause: after a loss of power every flow is searched. Change: at most 10 searches a second and a burst of 40 for each balancer; pauses between searches for one flow double up to 1.6 s; no search for a reset. Test: TestSearchesAreBounded fails before.

--- a/internal/logsearch/cause.go
+++ b/internal/logsearch/cause.go
@@ -12,6 +12,7 @@
 	{"reset", "upstream_lost", "ended: the upstream process that held the flow has started again"},
 	{"rejected", "silent", "late: an upstream did not answer the opening, and it was placed elsewhere"},
 	{"drop", "not_held", "silent: a packet of a flow that no upstream is known to hold was dropped; the caller sends it again"},
+	{"drop", "search_limit", "silent: the balancer did not know the flow and already asked about as many others as it may; the caller sends the packet again"},
 	{"wait", "none_answered", "late: the opening waited for an upstream that was starting or did not answer"},
 	{"forward", "placed_again", "late: an upstream returned the opening or its agent did not answer, and it was placed elsewhere"},
 	{"forward", "found", "late: the balancer did not know the flow and had to ask the agents for its holder"},
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/service"
@@ -28,10 +30,19 @@
 	// trialTimeout is how long an upstream may take to return a packet that it is
 	// tried with.
 	trialTimeout = 150 * time.Millisecond
-	// missPause lies between two searches for a flow that nobody seems to hold.
-	// Meanwhile a balancer learns of an upstream that it did not know; it is
-	// shorter than the first retransmission interval (200 ms).
-	missPause = 150 * time.Millisecond
+	// missPause lies between the first two searches for a flow that nobody seems
+	// to hold, and doubles up to maxMissPause, the longest retransmission interval
+	// of callers. Meanwhile a balancer learns of an upstream that it did not know;
+	// it is shorter than the first retransmission interval (200 ms).
+	missPause    = 150 * time.Millisecond
+	maxMissPause = 1600 * time.Millisecond
+	// searchesPerSecond and searchBurst bound the searches of one balancer. A
+	// search among 60 agents takes some 10 KB with its answers; after a loss of
+	// power, when every flow is searched, they would fill a link of 4 Mbit/s and
+	// lose each other's answers. The flows of a balancer that leaves, some tens
+	// for each of its neighbours, fit into the burst.
+	searchesPerSecond = 10
+	searchBurst       = 40
 	// maxHeldPackets bounds the packets that wait for an answer: a window.
 	maxHeldPackets = 16
 	// idleReserve is added to the idle timeout of flows, so that a balancer
@@ -96,6 +107,13 @@
 	// upstream denied the flow in it.
 	missedAt time.Time
 	denied   bool
+	misses   int
+}
+
+// missPause returns the pause before the next search.
+func (e *entry) missPause() time.Duration {
+	const maxDoublings = 4
+	return min(missPause<<min(max(e.misses-1, 0), maxDoublings), maxMissPause)
 }
 
 // offer is an upstream that has answered the opening.
@@ -127,6 +145,8 @@
 	due     []timer
 	sweepAt time.Time
 	link    linkMeter
+	// searches bounds the questions to agents.
+	searches *rate.Limiter
 	// complete is set when the directory has told all upstreams.
 	complete bool
 }
@@ -139,7 +159,7 @@
 // NewBalancer returns a balancer without routes and upstreams.
 func NewBalancer(cfg BalancerConfig) *Balancer {
 	return &Balancer{
-		cfg: cfg, link: newLinkMeter(cfg.LinkBitsPerSecond), routes: map[netip.AddrPort]*intent.Route{}, removed: map[netip.AddrPort]bool{},
+		cfg: cfg, link: newLinkMeter(cfg.LinkBitsPerSecond), searches: rate.NewLimiter(searchesPerSecond, searchBurst), routes: map[netip.AddrPort]*intent.Route{}, removed: map[netip.AddrPort]bool{},
 		targets: map[netip.Addr]*target{}, members: map[service.Name][]*target{}, flows: map[flow.Key]*entry{},
 	}
 }
@@ -199,6 +219,11 @@
 		return
 	}
 	e := b.flows[p.Flow]
+	if e == nil && p.Flags.Has(RST) {
+		// The upstream notices by itself that its caller is gone.
+		*out = append(*out, Action{Kind: Drop, Reason: NotHeld, Flow: p.Flow})
+		return
+	}
 	if e == nil {
 		b.locate(now, b.add(now, p.Flow), p, data, out)
 		return
@@ -219,7 +244,7 @@
 	case locating, trying:
 		b.hold(e, data, out)
 	case missing:
-		if now.Sub(e.missedAt) >= missPause {
+		if now.Sub(e.missedAt) >= e.missPause() {
 			b.locate(now, e, p, data, out)
 			return
 		}
--- a/internal/steering/balancer_test.go
+++ b/internal/steering/balancer_test.go
@@ -379,3 +379,34 @@
 		require.Equal(t, steering.Forward, b.packet(small)[0].Kind)
 	}
 }
+
+// Guards against searches that fill a slow link after a loss of power, when every
+// flow is searched: their answers were lost, so that no search ended.
+func TestSearchesAreBounded(t *testing.T) {
+	var list []steering.Upstream
+	for i := 1; i <= 60; i++ {
+		list = append(list, upstream(i, orders, near, view.Ready))
+	}
+	b := newBalancerRun(t, list...)
+	questions := 0
+	for range 10 {
+		for port := uint16(1); port <= 300; port++ {
+			for _, a := range b.packet(fromCaller(port, 10)) {
+				if a.Kind == steering.Tell {
+					questions++
+				}
+			}
+		}
+		for range 10 {
+			b.now = b.now.Add(20 * time.Millisecond)
+			b.Tick(b.now, &b.actions)
+			for _, a := range b.take() {
+				if a.Kind == steering.Tell {
+					questions++
+				}
+			}
+		}
+	}
+	// 2 s: the burst of 40 and 20 more searches, each of 60 agents asked 3 times.
+	require.LessOrEqual(t, questions, 61*60*3)
+}
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -91,6 +91,7 @@
 	NoDesired       Reason = "no_desired_state"
 	NotReady        Reason = "not_ready"
 	NotHeld         Reason = "not_held"
+	SearchLimit     Reason = "search_limit"
 	HoldFull        Reason = "hold_full"
 	WrongService    Reason = "wrong_service"
 	UpstreamReplied Reason = "upstream_replied"
--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -15,6 +15,11 @@
 
 // locate asks all agents who holds a flow. Packets wait for the answer.
 func (b *Balancer) locate(now time.Time, e *entry, p *Packet, data []byte, out *[]Action) {
+	if !b.searches.AllowN(now, 1) {
+		e.state, e.target, e.missedAt, e.deadline = missing, nil, now, time.Time{}
+		*out = append(*out, Action{Kind: Drop, Reason: SearchLimit, Flow: e.key})
+		return
+	}
 	e.state, e.target, e.ack = locating, nil, p.Ack
 	e.search = &search{}
 	if data != nil {
@@ -86,7 +91,7 @@
 		e.held = e.held[1:]
 	}
 	e.state, e.target, e.search = settled, t, nil
-	e.deadline, e.denied, e.missedAt = time.Time{}, false, time.Time{}
+	e.deadline, e.denied, e.missedAt, e.misses = time.Time{}, false, time.Time{}, 0
 	b.release(e, reason, out)
 }
 
@@ -102,7 +107,7 @@
 // agent has not answered, it may be the holder, and nobody is tried in the first
 // search. Without agents to try notHeld decides.
 func (b *Balancer) searchEnded(now time.Time, e *entry, out *[]Action) {
-	first := e.missedAt.IsZero()
+	first := e.misses == 0
 	if len(e.search.unsure) == 0 || len(e.held) == 0 || (first && len(e.search.silent) > 0) {
 		b.notHeld(now, e, out)
 		return
@@ -137,6 +142,7 @@
 		return
 	}
 	e.state, e.denied, e.missedAt, e.deadline = missing, certain, now, time.Time{}
+	e.misses++
 	*out = append(*out, Action{Kind: Drop, Reason: NotHeld, Flow: e.key})
 }
 
