directory: a balancer without a desired state asks all control processes

Change: a balancer that is starting asks all of them every 150 ms; an agent that has not answered a search does not hold up the next ones for 2 s. Tests: TestStartingBalancerAsksAll and TestOneSilentAgentHoldsUpOneSearch fail before.

--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -15,7 +15,8 @@
 	// With three of them each is asked every 1.5 s, half of the time in which a
 	// change of the desired state has to be in force.
 	askInterval = 500 * time.Millisecond
-	// joinInterval is used until the first answer.
+	// joinInterval is used until the first answer, and by a balancer until it has
+	// a desired state.
 	joinInterval = 150 * time.Millisecond
 	// fetchInterval is how long a fetch of a desired state may take before another
 	// control process is asked: some round trips. On a link that loses half of
@@ -145,14 +146,20 @@
 	}}
 }
 
+// starting reports whether the process lacks what it needs to serve.
+func (c *Client) starting() bool {
+	return !c.synced || (c.cfg.Subscribe && c.cfg.Self.Role == vm.RoleBalancer && c.version == 0)
+}
+
 func (c *Client) interval() time.Duration {
-	if !c.synced {
+	if c.starting() {
 		return joinInterval
 	}
 	return askInterval
 }
 
-// Tick asks the next control process if it is time.
+// Tick asks the next control process if it is time. A process that is starting
+// asks all of them: some may be down, blank or without a replica.
 func (c *Client) Tick(now time.Time) []Request {
 	if now.Before(c.askAt) || len(c.controls) == 0 {
 		return nil
@@ -161,6 +168,13 @@
 	c.controls = slices.DeleteFunc(c.controls, func(k *control) bool {
 		return !k.seed && now.Sub(k.heardAt) > controlLifetime
 	})
+	if c.starting() {
+		requests := make([]Request, 0, len(c.controls))
+		for _, k := range c.controls {
+			requests = append(requests, c.request(k))
+		}
+		return requests
+	}
 	c.next = (c.next + 1) % len(c.controls)
 	return []Request{c.request(c.controls[c.next])}
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -155,6 +155,19 @@
 	require.EqualValues(t, 901, s.Table().Known(&news.Requests[0].Ask.Self))
 }
 
+// Guards against a balancer that refuses openings for seconds after a loss of
+// power, because the control processes that it asks in turn have no desired state.
+func TestStartingBalancerAsksAll(t *testing.T) {
+	c := newClient(vm.RoleBalancer, 2, address(1), address(3), address(5))
+	require.Len(t, c.Tick(start), 3)
+	c.Answer(start, address(1), &directory.Answer{Epoch: 1})
+	next := c.Deadline()
+	require.LessOrEqual(t, next.Sub(start), 150*time.Millisecond)
+	require.Len(t, c.Tick(next), 3, "the first answer had no version")
+	c.SetVersion(7)
+	require.Len(t, c.Tick(c.Deadline()), 1)
+}
+
 // Guards against a process that asks only seeds that have been replaced.
 func TestControlProcessesAreLearned(t *testing.T) {
 	s := newServer(1)
@@ -179,6 +192,7 @@
 func TestNewVersionIsFetched(t *testing.T) {
 	s := newServer(1)
 	c := newClient(vm.RoleBalancer, 2, address(1))
+	c.SetVersion(3)
 	exchange(t, start, c, s, address(1), nil)
 	_, due := c.Wanted(start)
 	require.False(t, due)
--- a/internal/steering/balancer_test.go
+++ b/internal/steering/balancer_test.go
@@ -225,6 +225,27 @@
 	require.Equal(t, agentAddress(1), actions[0].To)
 }
 
+// Guards against searches that are all held up by a VM that has gone without a
+// word: flows of restarted agents would miss their objectives meanwhile.
+func TestOneSilentAgentHoldsUpOneSearch(t *testing.T) {
+	b := newBalancerRun(t, upstream(1, orders, near, view.Ready), upstream(2, orders, far, view.Ready))
+	search := func(port uint16) (tried bool) {
+		b.packet(fromCaller(port, 10))
+		m := steering.Message{Kind: steering.Located, Verdict: steering.Unsure, Flow: flowOf(port)}
+		b.Message(b.now, agentAddress(2), &m, &b.actions)
+		for range 3 {
+			for _, a := range b.wait() {
+				tried = tried || a.Kind == steering.Forward
+			}
+		}
+		return tried
+	}
+	require.False(t, search(1), "the silent agent may hold the flow")
+	require.True(t, search(2), "it is known to be silent")
+	b.tell(1, steering.Message{Kind: steering.Located, Verdict: steering.HoldsNot})
+	require.False(t, search(3), "it has answered since")
+}
+
 // Guards against a flow that is given up because its agent has just restarted.
 func TestUnsureAgentsAreTried(t *testing.T) {
 	b := newBalancerRun(t, upstream(1, orders, near, view.Ready), upstream(2, orders, far, view.Ready))
--- a/internal/steering/placement.go
+++ b/internal/steering/placement.go
@@ -33,6 +33,9 @@
 	// avoidTime is how long an upstream that could not take an opening gets no
 	// other one, unless there is no choice.
 	avoidTime = 500 * time.Millisecond
+	// muteTime is how long searches are not held up by an agent that has not
+	// answered one: about as long as an agent takes to restart.
+	muteTime = 2 * time.Second
 	// fullTime is how long an upstream that could not answer in time gets no
 	// opening. Under lasting overload openings are then refused at once, instead
 	// of after an exchange with three upstreams; two or three requests end
@@ -63,12 +66,14 @@
 	placed int
 	// avoidUntil: it could not take an opening.
 	avoidUntil time.Time
+	// muteUntil: it has not answered a search.
+	muteUntil time.Time
 	// fullUntil: it could not answer one more opening in time.
 	fullUntil time.Time
 }
 
 func (t *target) heard(now time.Time, m *Message) {
-	t.load, t.flows, t.reportedAt, t.placed = int(m.Load), int(m.Flows), now, 0
+	t.load, t.flows, t.reportedAt, t.placed, t.muteUntil = int(m.Load), int(m.Flows), now, 0, time.Time{}
 }
 
 // score is the expected load as a share of the slots; the lowest is chosen.
--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -107,8 +107,7 @@
 // agent has not answered, it may be the holder, and nobody is tried in the first
 // search. Without agents to try notHeld decides.
 func (b *Balancer) searchEnded(now time.Time, e *entry, out *[]Action) {
-	first := e.misses == 0
-	if len(e.search.unsure) == 0 || len(e.held) == 0 || (first && len(e.search.silent) > 0) {
+	if awaited := b.mute(now, e.search.silent); len(e.search.unsure) == 0 || len(e.held) == 0 || (e.misses == 0 && awaited) {
 		b.notHeld(now, e, out)
 		return
 	}
@@ -121,6 +120,19 @@
 	}
 }
 
+// mute notes the agents that have not answered a search, and reports whether one
+// of them was expected to: its VM may have gone without a word, and must not hold
+// up every search until the directory shows it as failed.
+func (b *Balancer) mute(now time.Time, silent []*target) (awaited bool) {
+	for _, t := range silent {
+		if t.Status != view.Failed && !now.Before(t.muteUntil) {
+			awaited = true
+		}
+		t.muteUntil = now.Add(muteTime)
+	}
+	return awaited
+}
+
 // trialEnded settles on the agent that has not denied the flow, if all others
 // have.
 func (b *Balancer) trialEnded(now time.Time, e *entry, out *[]Action) {
