--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -101,7 +101,7 @@
 // Announce takes a check-in of the upstream.
 func (a *Agent) Announce(n steering.Announcement) {
 	a.mu.Lock()
-	changed := a.core.Announce(n)
+	changed := a.core.Announce(time.Now(), n)
 	current, _ := a.core.Upstream()
 	stopping := a.stopping
 	a.mu.Unlock()
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -41,6 +41,14 @@
 	closedLifetime = 5 * time.Second
 	// sweepInterval is how often expired flows are looked for.
 	sweepInterval = time.Second
+	// bornBefore is how long before its agent an upstream may have started and
+	// still have met no caller: processes of a VM that comes up start together, and
+	// an upstream gets its first opening after its check-in and the announcement of
+	// it, some round trips later.
+	bornBefore = 100 * time.Millisecond
+	// firstAnnouncements is the highest sequence of an upstream that has just
+	// started: its first calls may get no answer while the agent starts.
+	firstAnnouncements = 3
 	// ackWindow bounds how far a caller's acknowledgement may be ahead of the
 	// upstream's first sequence number while a flow opens: 16 packets of 1,200
 	// bytes, with room for a larger window.
@@ -63,6 +71,8 @@
 	VM          vm.ID
 	Service     service.Name
 	Incarnation vm.Incarnation
+	// Born is when the incarnation started, by the clock of its VM.
+	Born time.Time
 	// Sequence orders the announcements of one incarnation.
 	Sequence uint64
 	Status   view.Status
@@ -78,7 +88,8 @@
 	upstream Announcement
 	// known is set by the first announcement of this life of the agent.
 	known bool
-	// sawStart is set when the upstream started again during this life.
+	// sawStart is set when this agent has seen all packets of the upstream's
+	// incarnation.
 	sawStart    bool
 	silentUntil time.Time
 	flows       map[flow.Key]*held
@@ -154,7 +165,7 @@
 // Announce takes an announcement of the upstream. It reports whether it changed
 // what others have to know. Announcements of an earlier incarnation, or older
 // ones of the current incarnation, are ignored.
-func (a *Agent) Announce(n Announcement) bool {
+func (a *Agent) Announce(now time.Time, n Announcement) bool {
 	before := a.upstream
 	if a.known {
 		if n.Incarnation < before.Incarnation || (n.Incarnation == before.Incarnation && n.Sequence <= before.Sequence) {
@@ -168,12 +179,20 @@
 	changed := !a.known || n.Incarnation != before.Incarnation || n.Status != before.Status || n.Slots != before.Slots || n.VM != before.VM
 	if n.Incarnation != before.Incarnation {
 		a.silentUntil = time.Time{}
-		a.sawStart = a.known
+		a.sawStart = a.known || a.startedTogether(now, &n)
 	}
 	a.upstream, a.known = n, true
 	return changed
 }
 
+// startedTogether reports whether the upstream started when this agent did, so
+// that no packet passed before. The clock of the VM may have been set back since
+// the upstream started; its sequence then shows its age.
+func (a *Agent) startedTogether(now time.Time, n *Announcement) bool {
+	heard := a.cfg.Started.Add(now.Sub(a.cfg.Started))
+	return n.Sequence <= firstAnnouncements && !n.Born.Before(a.cfg.Started.Add(-bornBefore)) && !n.Born.After(heard)
+}
+
 // FromBalancer decides about a packet of a caller.
 func (a *Agent) FromBalancer(now time.Time, p *Packet, mark Mark, origin netip.Addr, data []byte, out *[]Action) {
 	if mark.Service != a.tag {
--- a/internal/steering/agent_test.go
+++ b/internal/steering/agent_test.go
@@ -71,7 +71,7 @@
 
 func readyAgent(t *testing.T) *agentRun {
 	a := newAgentRun(t)
-	require.True(t, a.Announce(announcement(1, 0, view.Ready)))
+	require.True(t, a.Announce(a.now, announcement(1, 0, view.Ready)))
 	return a
 }
 
@@ -116,15 +116,15 @@
 		want    steering.Verdict
 	}{
 		"restarted agent does not know its upstream": {func(*agentRun) {}, own, steering.Unready},
-		"upstream is leaving":                        {func(a *agentRun) { a.Announce(announcement(1, 0, view.Leaving)) }, last(own), steering.Leaving},
-		"upstream has ended":                         {func(a *agentRun) { a.Announce(announcement(1, 0, view.Left)) }, last(own), steering.Leaving},
+		"upstream is leaving":                        {func(a *agentRun) { a.Announce(a.now, announcement(1, 0, view.Leaving)) }, last(own), steering.Leaving},
+		"upstream has ended":                         {func(a *agentRun) { a.Announce(a.now, announcement(1, 0, view.Left)) }, last(own), steering.Leaving},
 		"leaving upstream announces ready late": {func(a *agentRun) {
-			a.Announce(announcement(1, 5, view.Leaving))
-			a.Announce(announcement(1, 4, view.Ready))
-			a.Announce(announcement(1, 6, view.Ready))
+			a.Announce(a.now, announcement(1, 5, view.Leaving))
+			a.Announce(a.now, announcement(1, 4, view.Ready))
+			a.Announce(a.now, announcement(1, 6, view.Ready))
 		}, last(own), steering.Leaving},
 		"another service": {
-			func(a *agentRun) { a.Announce(announcement(1, 0, view.Ready)) },
+			func(a *agentRun) { a.Announce(a.now, announcement(1, 0, view.Ready)) },
 			steering.Mark{Service: steering.ServiceTag(drying), Last: true},
 			steering.Foreign,
 		},
@@ -145,7 +145,7 @@
 }
 
 func busyAgent(a *agentRun) {
-	a.Announce(announcement(1, 0, view.Ready))
+	a.Announce(a.now, announcement(1, 0, view.Ready))
 	for port := range uint16(2) {
 		a.open(port + 1)
 		a.caller(fromCaller(port+1, 10), own)
@@ -157,7 +157,7 @@
 // taken.
 func TestAdmissionByExpectedWait(t *testing.T) {
 	a := newAgentRun(t)
-	a.Announce(announcement(1, 0, view.Ready))
+	a.Announce(a.now, announcement(1, 0, view.Ready))
 	a.open(1)
 	a.caller(fromCaller(1, 10), own)
 	a.now = a.now.Add(25 * time.Millisecond)
@@ -242,6 +242,34 @@
 	require.Equal(t, steering.Known, a.caller(fromCaller(1, 10), own)[0].Reason)
 }
 
+// Guards against searches without an end after a loss of power: an upstream that
+// started with its agent holds no flow of before, and the agent knows it. An
+// upstream that was there earlier may hold any.
+func TestUpstreamThatStartedWithItsAgent(t *testing.T) {
+	for name, c := range map[string]struct {
+		born     time.Duration
+		sequence uint64
+		want     steering.Verdict
+	}{
+		"started just before":                      {-20 * time.Millisecond, 1, steering.HoldsNot},
+		"started after":                            {300 * time.Millisecond, 2, steering.HoldsNot},
+		"was there before":                         {-time.Second, 1, steering.Unsure},
+		"clock set back, upstream is old":          {time.Hour, 1, steering.Unsure},
+		"clock set back, upstream has announced":   {300 * time.Millisecond, 9, steering.Unsure},
+		"clock set forward, upstream looks older":  {-time.Hour, 1, steering.Unsure},
+		"older one whose announcements got no ack": {-time.Minute, 40, steering.Unsure},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newAgentRun(t)
+			a.now = start.Add(time.Second)
+			n := announcement(7, c.sequence, view.Ready)
+			n.Born = start.Add(c.born)
+			a.Announce(a.now, n)
+			require.Equal(t, c.want, a.locate(1, answerSeq+1))
+		})
+	}
+}
+
 // Guards against repeated deliveries of packets that the upstream has returned,
 // and against an agent that stays unsure about them.
 func TestDeniedFlowIsRemembered(t *testing.T) {
@@ -264,7 +292,7 @@
 	p.Flags |= steering.Returned
 	require.Equal(t, steering.NotFound, a.upstream(p)[0].Message.Kind)
 	require.Equal(t, steering.HoldsNot, a.locate(1, answerSeq+1))
-	a.Announce(announcement(2, 0, view.Ready))
+	a.Announce(a.now, announcement(2, 0, view.Ready))
 	actions := a.upstream(p)
 	require.Equal(t, steering.Reset, actions[0].Kind)
 	require.Equal(t, p.Ack, actions[0].Sequence)
@@ -287,11 +315,11 @@
 // the same address.
 func TestAnnouncementsOfEarlierIncarnations(t *testing.T) {
 	a := newAgentRun(t)
-	require.True(t, a.Announce(announcement(5, 3, view.Ready)))
-	require.False(t, a.Announce(announcement(5, 4, view.Ready)), "nothing new")
-	require.False(t, a.Announce(announcement(4, 90, view.Leaving)))
-	require.False(t, a.Announce(announcement(5, 2, view.Leaving)))
-	require.True(t, a.Announce(announcement(6, 0, view.Ready)), "counts start again")
+	require.True(t, a.Announce(a.now, announcement(5, 3, view.Ready)))
+	require.False(t, a.Announce(a.now, announcement(5, 4, view.Ready)), "nothing new")
+	require.False(t, a.Announce(a.now, announcement(4, 90, view.Leaving)))
+	require.False(t, a.Announce(a.now, announcement(5, 2, view.Leaving)))
+	require.True(t, a.Announce(a.now, announcement(6, 0, view.Ready)), "counts start again")
 	current, known := a.Upstream()
 	require.True(t, known)
 	require.EqualValues(t, 6, current.Incarnation)
