--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -15,6 +15,12 @@
 	// With three of them each is asked every 1.5 s, half of the time in which a
 	// change of the desired state has to be in force.
 	askInterval = 500 * time.Millisecond
+	// completeAfter is when every process that runs has asked a control process
+	// that has just started: a process asks within askInterval, and all control
+	// processes one askInterval later if it got no answer, or at once if the
+	// answer shows that the control process has started again. joinInterval is
+	// for an answer on its way.
+	completeAfter = 2*askInterval + joinInterval
 	// joinInterval is used until the first answer, and by a balancer until it has
 	// a desired state.
 	joinInterval = 150 * time.Millisecond
@@ -48,6 +54,9 @@
 	controls []*control
 	next     int
 	askAt    time.Time
+	// asked is the control process that was asked last, at askedAt.
+	asked   *control
+	askedAt time.Time
 	version  uint64
 	fetchAt  time.Time
 	leader   netip.Addr
@@ -113,12 +122,19 @@
 	}
 }
 
-func (c *Client) learn(now time.Time, address netip.Addr) *control {
+func (c *Client) known(address netip.Addr) *control {
 	for _, k := range c.controls {
 		if k.address == address {
 			return k
 		}
 	}
+	return nil
+}
+
+func (c *Client) learn(now time.Time, address netip.Addr) *control {
+	if k := c.known(address); k != nil {
+		return k
+	}
 	k := &control{address: address, heardAt: now}
 	c.controls = append(c.controls, k)
 	return k
@@ -129,11 +145,16 @@
 func (c *Client) Announce(now time.Time, update func(*Record)) []Request {
 	update(&c.cfg.Self)
 	c.cfg.Self.Revision++
+	c.askAt = now.Add(c.interval())
+	return c.requests()
+}
+
+// requests asks all control processes.
+func (c *Client) requests() []Request {
 	requests := make([]Request, 0, len(c.controls))
 	for _, k := range c.controls {
 		requests = append(requests, c.request(k))
 	}
-	c.askAt = now.Add(c.interval())
 	return requests
 }
 
@@ -158,8 +179,13 @@
 	return askInterval
 }
 
+// unanswered reports whether the control process that was asked last is silent.
+func (c *Client) unanswered() bool { return c.asked != nil && c.asked.heardAt.Before(c.askedAt) }
+
 // Tick asks the next control process if it is time. A process that is starting
-// asks all of them: some may be down, blank or without a replica.
+// asks all of them: some may be down, blank or without a replica. So does one
+// that got no answer: after a loss of power those that are back rebuild their
+// tables from what they are told.
 func (c *Client) Tick(now time.Time) []Request {
 	if now.Before(c.askAt) || len(c.controls) == 0 {
 		return nil
@@ -168,15 +194,13 @@
 	c.controls = slices.DeleteFunc(c.controls, func(k *control) bool {
 		return !k.seed && now.Sub(k.heardAt) > controlLifetime
 	})
-	if c.starting() {
-		requests := make([]Request, 0, len(c.controls))
-		for _, k := range c.controls {
-			requests = append(requests, c.request(k))
-		}
-		return requests
+	if c.starting() || c.unanswered() {
+		c.asked = nil
+		return c.requests()
 	}
 	c.next = (c.next + 1) % len(c.controls)
-	return []Request{c.request(c.controls[c.next])}
+	c.asked, c.askedAt = c.controls[c.next], now
+	return []Request{c.request(c.asked)}
 }
 
 // Deadline returns when Tick has something to do next.
@@ -216,7 +240,8 @@
 type News struct {
 	// Changed: the table has changed.
 	Changed bool
-	// Requests tell the control processes about a raised process number.
+	// Requests tell control processes that are new or have started again, or all
+	// of them about a raised process number.
 	Requests []Request
 	// Completed: the table is complete for the first time.
 	Completed bool
@@ -230,9 +255,14 @@
 	k := c.learn(now, from)
 	k.heardAt = now
 	c.synced = true
+	if k.epoch != 0 && k.epoch != a.Epoch {
+		// Others may have started again as well, and none of them knows this
+		// process.
+		news.Requests = c.requests()
+	}
 	for _, address := range a.Controls {
-		if len(c.controls) < maxControls {
-			c.learn(now, address)
+		if c.known(address) == nil && len(c.controls) < maxControls {
+			news.Requests = append(news.Requests, c.request(c.learn(now, address)))
 		}
 	}
 	if a.Leader.IsValid() {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -137,6 +138,50 @@
 	require.True(t, c.Complete(), "another control process has told a complete table")
 }
 
+// Guards against a table that stays incomplete for seconds after a loss of power:
+// a process that has lived on has to tell every control process within
+// completeAfter that it is there, whichever of them are back.
+func TestSurvivorIsKnownSoonAfterAllControlStartedAgain(t *testing.T) {
+	addresses := []netip.Addr{address(1), address(2), address(3), address(4), address(5), address(6)}
+	for down := range addresses {
+		c := newClient(vm.RoleUpstream, 10, addresses...)
+		now := start
+		for i, a := range addresses {
+			c.Answer(now, a, &directory.Answer{Epoch: uint64(100 + i)})
+		}
+		for now = c.Deadline(); now.Before(start.Add(4 * time.Second)); now = c.Deadline() {
+			for _, r := range c.Tick(now) {
+				c.Answer(now, r.To, &directory.Answer{Epoch: r.Ask.Epoch})
+			}
+		}
+		// All control processes have started again but those that stay down.
+		restarted, told := now, map[netip.Addr]bool{}
+		answer := func(requests []directory.Request) {
+			for len(requests) > 0 {
+				r := requests[0]
+				requests = requests[1:]
+				if slices.Index(addresses, r.To) < down {
+					continue
+				}
+				told[r.To] = true
+				requests = append(requests, c.Answer(now, r.To, &directory.Answer{Epoch: 200}).Requests...)
+			}
+		}
+		for ; now.Sub(restarted) < 1150*time.Millisecond; now = c.Deadline() {
+			answer(c.Tick(now))
+		}
+		require.Len(t, told, len(addresses)-down)
+	}
+}
+
+// Guards against a process that a new control process does not know for seconds.
+func TestNewControlProcessIsAskedAtOnce(t *testing.T) {
+	c := newClient(vm.RoleUpstream, 10, address(1))
+	news := c.Answer(start, address(1), &directory.Answer{Epoch: 1, Controls: []netip.Addr{address(1), address(7)}})
+	require.Len(t, news.Requests, 1)
+	require.Equal(t, address(7), news.Requests[0].To)
+}
+
 // Guards against a process whose clock went back: its announcements would lose
 // against those of its predecessor.
 func TestClockBehind(t *testing.T) {
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -116,15 +116,16 @@
 	return s.Changes(now)
 }
 
-// review declares the table complete when every process must have asked once.
-// Processes ask the control processes in turn.
+// review declares the table complete when every process must have asked once:
+// completeAfter the start, or earlier if there are few control processes, which
+// are asked in turn.
 func (s *Server) review(now time.Time) {
 	if s.complete {
 		return
 	}
 	controls := 0
 	s.table.Entries(vm.RoleControl, func(*Entry) { controls++ })
-	s.complete = now.Sub(s.cfg.Started) > askInterval*time.Duration(controls+1)
+	s.complete = now.Sub(s.cfg.Started) > min(askInterval*time.Duration(controls+1), completeAfter)
 }
 
 // Changes returns what subscribers do not have yet.
--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -191,7 +191,7 @@
 	}
 	if news.Changed || news.Completed {
 		b.core.SetUpstreams(upstreams(b.client.Upstreams()), b.client.Complete())
-		b.decide(now, func(out *[]steering.Action) { b.core.Resume(now, out) })
+		b.decide(now, func(out *[]steering.Action) { b.core.Resume(now, news.Completed, out) })
 	}
 	b.plan(now)
 }
@@ -222,7 +222,7 @@
 	defer b.mu.Unlock()
 	if b.core.SetDesired(d) {
 		now := time.Now()
-		b.decide(now, func(out *[]steering.Action) { b.core.Resume(now, out) })
+		b.decide(now, func(out *[]steering.Action) { b.core.Resume(now, false, out) })
 		b.tookVersion(d.Version)
 		b.Log.WithFields(logrus.Fields{"version": d.Version, "routes": len(d.Routes), "control": from}).Info("desired state in force")
 	}
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -30,19 +30,17 @@
 	// trialTimeout is how long an upstream may take to return a packet that it is
 	// tried with.
 	trialTimeout = 150 * time.Millisecond
-	// missPause lies between the first two searches for a flow that nobody seems
-	// to hold, and doubles up to maxMissPause, the longest retransmission interval
-	// of callers. Meanwhile a balancer learns of an upstream that it did not know;
-	// it is shorter than the first retransmission interval (200 ms).
+	// confirmPause lies between two searches for a flow that every upstream denies:
+	// three times what a change of the directory takes from one zone to another
+	// and on to a balancer, so that the second search asks an upstream that the
+	// first one did not know.
+	confirmPause = 30 * time.Millisecond
+	// missPause lies between the first two searches for a flow of which some
+	// upstream could not tell whether it holds it, and doubles up to maxMissPause,
+	// the longest retransmission interval of callers. It is shorter than the first
+	// retransmission interval (200 ms).
 	missPause    = 150 * time.Millisecond
 	maxMissPause = 1600 * time.Millisecond
-	// searchesPerSecond and searchBurst bound the searches of one balancer. A
-	// search among 60 agents takes some 10 KB with its answers; after a loss of
-	// power, when every flow is searched, they would fill a link of 4 Mbit/s and
-	// lose each other's answers. The flows of a balancer that leaves, some tens
-	// for each of its neighbours, fit into the burst.
-	searchesPerSecond = 10
-	searchBurst       = 40
 	// maxHeldPackets bounds the packets that wait for an answer: a window.
 	maxHeldPackets = 16
 	// idleReserve is added to the idle timeout of flows, so that a balancer
@@ -104,7 +102,7 @@
 	held   [][]byte
 	ack    uint32
 	// missedAt is when the last search found no holder; denied says that every
-	// upstream denied the flow in it.
+	// upstream of a complete directory denied the flow in it.
 	missedAt time.Time
 	denied   bool
 	misses   int
@@ -159,7 +157,7 @@
 // NewBalancer returns a balancer without routes and upstreams.
 func NewBalancer(cfg BalancerConfig) *Balancer {
 	return &Balancer{
-		cfg: cfg, link: newLinkMeter(cfg.LinkBitsPerSecond), searches: rate.NewLimiter(searchesPerSecond, searchBurst), routes: map[netip.AddrPort]*intent.Route{}, removed: map[netip.AddrPort]bool{},
+		cfg: cfg, link: newLinkMeter(cfg.LinkBitsPerSecond), searches: rate.NewLimiter(0, searchBurst), routes: map[netip.AddrPort]*intent.Route{}, removed: map[netip.AddrPort]bool{},
 		targets: map[netip.Addr]*target{}, members: map[service.Name][]*target{}, flows: map[flow.Key]*entry{},
 	}
 }
@@ -244,6 +242,11 @@
 	case locating, trying:
 		b.hold(e, data, out)
 	case missing:
+		e.ack = p.Ack
+		if e.denied {
+			b.hold(e, data, out)
+			return
+		}
 		if now.Sub(e.missedAt) >= e.missPause() {
 			b.locate(now, e, p, data, out)
 			return
@@ -391,7 +394,9 @@
 		b.askAgain(now, e, out)
 	case trying:
 		b.trialEnded(now, e, out)
-	case settled, missing:
+	case missing:
+		b.startSearch(now, e, out)
+	case settled:
 	}
 }
 
--- a/internal/steering/placement.go
+++ b/internal/steering/placement.go
@@ -299,13 +299,17 @@
 }
 
 // Resume places the openings that wait, after a change of the desired state or
-// of the upstreams.
-func (b *Balancer) Resume(now time.Time, out *[]Action) {
+// of the upstreams. completed says that the directory has just told all of them:
+// flows that were not found before are then searched again.
+func (b *Balancer) Resume(now time.Time, completed bool, out *[]Action) {
 	for _, e := range b.flows {
 		if e.state == waiting {
 			b.tryAgain(now, e, out)
 		}
 	}
+	if completed {
+		b.searchMissing(now, out)
+	}
 }
 
 // refuse tells the caller that its request has not run.
--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/view"
 )
@@ -13,18 +15,50 @@
 // allows anyway.
 var splitHasher = flow.Hasher{K0: 1, K1: 2}
 
-// locate asks all agents who holds a flow. Packets wait for the answer.
+const (
+	// searchLinkShare is the part of the link that searches may take. After a loss
+	// of power every flow is searched, and the questions must not displace the
+	// packets of callers or each other's answers.
+	searchLinkShare = 0.2
+	// searchMessageBytes is what a question or an answer takes on the link.
+	searchMessageBytes = 100
+	// searchMessagesPerSecond bounds them on fast links, at some 20 us each: 0.025
+	// of a core.
+	searchMessagesPerSecond = 1200
+	// searchBurst is how many searches may start at once: the flows of a balancer
+	// that leaves, some tens for each of its neighbours.
+	searchBurst = 40
+)
+
+// searchRate returns how many searches among so many agents may start in a
+// second.
+func searchRate(linkBitsPerSecond float64, agents int) rate.Limit {
+	const bitsPerByte, messagesPerAgent = 8, 2
+	messages := float64(searchMessagesPerSecond)
+	if linkBitsPerSecond > 0 {
+		messages = min(messages, searchLinkShare*linkBitsPerSecond/bitsPerByte/searchMessageBytes)
+	}
+	return rate.Limit(messages / float64(messagesPerAgent*max(agents, 1)))
+}
+
+// locate searches for a flow within the bound of searches.
 func (b *Balancer) locate(now time.Time, e *entry, p *Packet, data []byte, out *[]Action) {
+	b.searches.SetLimitAt(now, searchRate(b.cfg.LinkBitsPerSecond, len(b.targets)))
 	if !b.searches.AllowN(now, 1) {
-		e.state, e.target, e.missedAt, e.deadline = missing, nil, now, time.Time{}
+		e.state, e.target, e.missedAt, e.deadline, e.denied, e.held = missing, nil, now, time.Time{}, false, nil
 		*out = append(*out, Action{Kind: Drop, Reason: SearchLimit, Flow: e.key})
 		return
 	}
-	e.state, e.target, e.ack = locating, nil, p.Ack
-	e.search = &search{}
+	e.ack = p.Ack
 	if data != nil {
 		b.hold(e, data, out)
 	}
+	b.startSearch(now, e, out)
+}
+
+// startSearch asks all agents who holds a flow. Packets wait for the answer.
+func (b *Balancer) startSearch(now time.Time, e *entry, out *[]Action) {
+	e.state, e.target, e.search = locating, nil, &search{}
 	for _, t := range b.targets {
 		if t.Status != view.Left {
 			e.search.silent = append(e.search.silent, t)
@@ -53,7 +87,7 @@
 // askAgain repeats the question, whose packets or answers may be lost on a full
 // link, or ends the search.
 func (b *Balancer) askAgain(now time.Time, e *entry, out *[]Action) {
-	if e.search.tries < locateTries {
+	if e.search.tries < locateTries && e.search.awaited() {
 		b.ask(now, e, out)
 		return
 	}
@@ -84,6 +118,13 @@
 	}
 }
 
+// awaited reports whether an agent has not answered that may still do so. One
+// that the directory shows as failed has been silent for seconds: a flow that it
+// holds cannot be served, and its caller is better off with a new one.
+func (s *search) awaited() bool {
+	return slices.ContainsFunc(s.silent, func(t *target) bool { return t.Status != view.Failed })
+}
+
 // settle sends what has waited to the holder.
 func (b *Balancer) settle(e *entry, t *target, reason Reason, out *[]Action) {
 	if e.state == trying && len(e.held) > 0 {
@@ -136,7 +177,7 @@
 // trialEnded settles on the agent that has not denied the flow, if all others
 // have.
 func (b *Balancer) trialEnded(now time.Time, e *entry, out *[]Action) {
-	if len(e.search.unsure) != 1 || len(e.search.silent) > 0 {
+	if len(e.search.unsure) != 1 || e.search.awaited() {
 		b.notHeld(now, e, out)
 		return
 	}
@@ -144,10 +185,12 @@
 }
 
 // notHeld ends a search without a holder. The caller is told only after a second
-// search has ended like this, and if every upstream has answered both times.
+// search has ended like this, and if every upstream of a complete directory has
+// denied the flow both times. The second search follows by itself, so that the
+// caller need not wait until it repeats its packet.
 func (b *Balancer) notHeld(now time.Time, e *entry, out *[]Action) {
-	certain := b.complete && len(e.search.silent) == 0 && len(e.search.unsure) == 0 && !e.reset
-	e.held, e.search, e.target = nil, nil, nil
+	certain := b.complete && !e.search.awaited() && len(e.search.unsure) == 0 && !e.reset
+	e.search, e.target = nil, nil
 	if certain && e.denied {
 		delete(b.flows, e.key)
 		*out = append(*out, Action{Kind: Reset, Reason: NobodyHolds, Flow: e.key, Sequence: e.ack})
@@ -155,9 +198,25 @@
 	}
 	e.state, e.denied, e.missedAt, e.deadline = missing, certain, now, time.Time{}
 	e.misses++
+	if certain {
+		// Not bounded again: each search is followed by one of these at most.
+		b.plan(e, now.Add(confirmPause))
+		return
+	}
+	e.held = nil
 	*out = append(*out, Action{Kind: Drop, Reason: NotHeld, Flow: e.key})
 }
 
+// searchMissing searches for the flows that were not found while the directory
+// was incomplete and whose callers still send.
+func (b *Balancer) searchMissing(now time.Time, out *[]Action) {
+	for _, e := range b.flows {
+		if e.state == missing && !e.reset && now.Sub(e.seenAt) < maxMissPause {
+			b.locate(now, e, &Packet{Flow: e.key, Ack: e.ack}, nil, out)
+		}
+	}
+}
+
 // notFound deals with a packet that an upstream does not hold.
 func (b *Balancer) notFound(now time.Time, e *entry, t *target, m *Message, out *[]Action) {
 	switch e.state {
