--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -24,6 +25,9 @@
 	agentIdleTimeout = 20 * time.Second
 	// maxAgentFlows bounds the remembered flows; upstreams hold some thousands.
 	maxAgentFlows = 20_000
+	// probeTimeout bounds the search for the process of the upstream; it runs on
+	// the same VM.
+	probeTimeout = 300 * time.Millisecond
 )
 
 // Agent runs beside an upstream.
@@ -79,9 +83,13 @@
 	group.Go(func() error { return a.receivePackets(a.outbound, true, a.upstreamPacket) })
 	a.tell(func(*directory.Record) {})
 	<-ctx.Done()
+	gone := !a.Ready() && a.probe(a.incarnation())
 	a.tell(func(r *directory.Record) {
 		a.stopping = true
-		if r.Status == view.Ready {
+		switch {
+		case gone:
+			r.Status = view.Left
+		case r.Status == view.Ready:
 			r.Status = view.Starting
 		}
 	})
@@ -100,8 +108,15 @@
 
 // Announce takes a check-in of the upstream.
 func (a *Agent) Announce(n steering.Announcement) {
+	now := time.Now()
+	a.publish(now, func(out *[]steering.Action) bool { return a.core.Announce(now, n, out) })
+}
+
+// publish announces what a decision has changed about the upstream.
+func (a *Agent) publish(now time.Time, decision func(out *[]steering.Action) (changed bool)) {
+	changed := false
 	a.mu.Lock()
-	changed := a.core.Announce(time.Now(), n)
+	a.decide(now, func(out *[]steering.Action) { changed = decision(out) })
 	current, _ := a.core.Upstream()
 	stopping := a.stopping
 	a.mu.Unlock()
@@ -131,6 +146,31 @@
 	a.Announce(current)
 }
 
+// probe looks for the process of the upstream. Only a refused connection shows
+// that it is gone; without any answer it may be slow or cut off.
+func (a *Agent) probe(incarnation vm.Incarnation) (gone bool) {
+	conn, err := net.DialTimeout("tcp", a.cfg.Upstream.String(), probeTimeout)
+	if err == nil {
+		a.lost(conn.Close())
+		return false
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		a.Log.WithError(err).Info("upstream does not answer a probe")
+		return false
+	}
+	now := time.Now()
+	a.publish(now, func(out *[]steering.Action) bool { return a.core.Ended(now, incarnation, out) })
+	return true
+}
+
+// incarnation returns that of the upstream; zero if it is unknown.
+func (a *Agent) incarnation() vm.Incarnation {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	current, _ := a.core.Upstream()
+	return current.Incarnation
+}
+
 // Ready reports whether the upstream takes work.
 func (a *Agent) Ready() bool {
 	a.mu.Lock()
@@ -199,6 +239,8 @@
 		a.toCaller(action, a.Codec.AppendReset(buffer[:0], action.Flow, action.Sequence))
 	case steering.Tell:
 		a.lost(a.link.send(action.To, a.cfg.NodePort, kindSteering, &action.Message))
+	case steering.Probe:
+		go a.probe(action.Incarnation)
 	case steering.Drop, steering.Wait, steering.Forward:
 	}
 }
--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -143,7 +143,7 @@
 		b.lost(err)
 	case steering.Tell:
 		b.lost(b.link.send(a.To, b.cfg.NodePort, kindSteering, &a.Message))
-	case steering.Drop, steering.Wait, steering.Deliver, steering.Reply:
+	case steering.Drop, steering.Wait, steering.Deliver, steering.Reply, steering.Probe:
 	}
 }
 
--- a/internal/fabric/outcomes.go
+++ b/internal/fabric/outcomes.go
@@ -10,6 +10,7 @@
 var eventNames = [...]string{
 	steering.Forward: "forward", steering.Deliver: "deliver", steering.Reply: "reply",
 	steering.Reset: "reset", steering.Tell: "tell", steering.Wait: "wait", steering.Drop: "drop",
+	steering.Probe: "probe",
 }
 
 // outcomes counts actions by kind and reason. Looking a counter up in the
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -92,6 +92,8 @@
 	// incarnation.
 	sawStart    bool
 	silentUntil time.Time
+	// probedAt is when the upstream was last looked for.
+	probedAt time.Time
 	flows       map[flow.Key]*held
 	doubts      map[flow.Key]doubt
 	// denials holds when the upstream returned a packet of a flow.
@@ -129,6 +131,10 @@
 	open            bool
 	stage           stage
 	callerFinished  bool
+	// ack is the last acknowledgement number of the caller.
+	ack uint32
+	// gone: the process that held the flow has ended.
+	gone bool
 	// requestAt is when the last request began; measured is set if a slot was
 	// free then.
 	requestAt time.Time
@@ -164,14 +170,15 @@
 
 // Announce takes an announcement of the upstream. It reports whether it changed
 // what others have to know. Announcements of an earlier incarnation, or older
-// ones of the current incarnation, are ignored.
-func (a *Agent) Announce(now time.Time, n Announcement) bool {
+// ones of the current incarnation, are ignored. Flows of an earlier incarnation
+// are reset: their callers need not find out by themselves.
+func (a *Agent) Announce(now time.Time, n Announcement, out *[]Action) bool {
 	before := a.upstream
 	if a.known {
 		if n.Incarnation < before.Incarnation || (n.Incarnation == before.Incarnation && n.Sequence <= before.Sequence) {
 			return false
 		}
-		if n.Incarnation == before.Incarnation && before.Status != view.Ready && n.Status == view.Ready {
+		if n.Incarnation == before.Incarnation && before.Status != view.Ready && before.Status != view.Failed && n.Status == view.Ready {
 			// An upstream that is leaving does not come back.
 			n.Status = before.Status
 		}
@@ -180,6 +187,14 @@
 	if n.Incarnation != before.Incarnation {
 		a.silentUntil = time.Time{}
 		a.sawStart = a.known || a.startedTogether(now, &n)
+		if a.known {
+			a.endFlows(now, n.Incarnation, out)
+		}
+	}
+	if !a.known {
+		for _, f := range a.flows {
+			f.incarnation = n.Incarnation
+		}
 	}
 	a.upstream, a.known = n, true
 	return changed
@@ -200,6 +215,10 @@
 		return
 	}
 	f := a.flows[p.Flow]
+	if f != nil && f.gone && !p.Opens() {
+		a.resetGone(p, f, out)
+		return
+	}
 	if p.Opens() {
 		a.opening(now, p, f, mark, origin, data, out)
 		return
@@ -223,6 +242,7 @@
 
 // track notes what a packet of the caller does to the flow.
 func (a *Agent) track(now time.Time, f *held, p *Packet) {
+	f.ack = p.Ack
 	switch {
 	case p.Flags.Has(RST):
 		a.setStage(f, quiet)
@@ -250,7 +270,7 @@
 
 // opening decides about a packet that asks for a new flow.
 func (a *Agent) opening(now time.Time, p *Packet, f *held, mark Mark, origin netip.Addr, data []byte, out *[]Action) {
-	if f != nil && f.opening == p.Sequence && f.incarnation == a.upstream.Incarnation {
+	if f != nil && !f.gone && f.opening == p.Sequence && f.incarnation == a.upstream.Incarnation {
 		f.origin = origin
 		*out = append(*out, Action{Kind: Deliver, Reason: Repeated, Flow: p.Flow, Data: data})
 		return
@@ -327,7 +347,7 @@
 // denies reports whether the upstream certainly does not hold an unknown flow.
 func (a *Agent) denies(now time.Time, key flow.Key) bool {
 	at, denied := a.denials[key]
-	return (denied && now.Sub(at) < denialLifetime) || a.certain(now)
+	return (denied && now.Sub(at) < denialLifetime) || a.upstream.Status == view.Failed || a.certain(now)
 }
 
 // Message answers a question of a balancer.
--- /dev/null
+++ b/internal/steering/agent_end.go
@@ -0,0 +1,56 @@
+package steering
+
+import (
+	"time"
+
+	"bramleyhold.example/bramleyhold/internal/view"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+// Ended notes that the process of an incarnation of the upstream no longer
+// exists. It takes no openings until an upstream announces itself again. It
+// reports whether that is news.
+func (a *Agent) Ended(now time.Time, incarnation vm.Incarnation, out *[]Action) bool {
+	if !a.known || a.upstream.Incarnation != incarnation {
+		return false
+	}
+	a.endFlows(now, incarnation+1, out)
+	if a.upstream.Status == view.Failed || a.upstream.Status == view.Left {
+		return false
+	}
+	a.upstream.Status = view.Failed
+	return true
+}
+
+// endFlows resets the open flows of incarnations before next. It answers the
+// pattern in which an upstream crashes under load: its callers would wait for
+// their whole time, and learn of it by nothing else.
+func (a *Agent) endFlows(now time.Time, next vm.Incarnation, out *[]Action) {
+	for key, f := range a.flows {
+		if f.incarnation >= next || f.gone {
+			continue
+		}
+		if !f.open {
+			// The caller may have taken the answer of another upstream.
+			a.forget(key, f)
+			if !f.answered {
+				a.tell(f.origin, Message{Kind: Rejected, Verdict: Silent, Flow: key, Sequence: f.opening}, UpstreamLost, out)
+			}
+			continue
+		}
+		a.setStage(f, quiet)
+		f.gone, f.seenAt = true, now
+		if !f.finished {
+			a.resetGone(&Packet{Flow: key, Ack: f.ack}, f, out)
+		}
+	}
+}
+
+// resetGone tells a caller that the process that held its flow has ended.
+func (a *Agent) resetGone(p *Packet, f *held, out *[]Action) {
+	f.finished = true
+	if p.Flags.Has(RST) {
+		return
+	}
+	*out = append(*out, Action{Kind: Reset, Reason: UpstreamLost, Flow: p.Flow, Sequence: p.Ack})
+}
--- a/internal/steering/agent_expiry.go
+++ b/internal/steering/agent_expiry.go
@@ -25,6 +25,10 @@
 		return
 	}
 	a.silentUntil = now.Add(silencePause)
+	if now.Sub(a.probedAt) >= silencePause {
+		a.probedAt = now
+		*out = append(*out, Action{Kind: Probe, Reason: UpstreamLost, Flow: u.key, Incarnation: a.upstream.Incarnation})
+	}
 	origin := f.origin
 	a.forget(u.key, f)
 	a.tell(origin, Message{Kind: Rejected, Verdict: Silent, Flow: u.key, Sequence: u.opening}, UpstreamLost, out)
--- a/internal/steering/agent_test.go
+++ b/internal/steering/agent_test.go
@@ -71,10 +71,14 @@
 
 func readyAgent(t *testing.T) *agentRun {
 	a := newAgentRun(t)
-	require.True(t, a.Announce(a.now, announcement(1, 0, view.Ready)))
+	require.True(t, a.announce(announcement(1, 0, view.Ready)))
 	return a
 }
 
+func (a *agentRun) announce(n steering.Announcement) bool {
+	return a.Announce(a.now, n, &a.actions)
+}
+
 func (a *agentRun) take() []steering.Action {
 	taken := a.actions
 	a.actions = nil
@@ -116,15 +120,15 @@
 		want    steering.Verdict
 	}{
 		"restarted agent does not know its upstream": {func(*agentRun) {}, own, steering.Unready},
-		"upstream is leaving":                        {func(a *agentRun) { a.Announce(a.now, announcement(1, 0, view.Leaving)) }, last(own), steering.Leaving},
-		"upstream has ended":                         {func(a *agentRun) { a.Announce(a.now, announcement(1, 0, view.Left)) }, last(own), steering.Leaving},
+		"upstream is leaving":                        {func(a *agentRun) { a.announce(announcement(1, 0, view.Leaving)) }, last(own), steering.Leaving},
+		"upstream has ended":                         {func(a *agentRun) { a.announce(announcement(1, 0, view.Left)) }, last(own), steering.Leaving},
 		"leaving upstream announces ready late": {func(a *agentRun) {
-			a.Announce(a.now, announcement(1, 5, view.Leaving))
-			a.Announce(a.now, announcement(1, 4, view.Ready))
-			a.Announce(a.now, announcement(1, 6, view.Ready))
+			a.announce(announcement(1, 5, view.Leaving))
+			a.announce(announcement(1, 4, view.Ready))
+			a.announce(announcement(1, 6, view.Ready))
 		}, last(own), steering.Leaving},
 		"another service": {
-			func(a *agentRun) { a.Announce(a.now, announcement(1, 0, view.Ready)) },
+			func(a *agentRun) { a.announce(announcement(1, 0, view.Ready)) },
 			steering.Mark{Service: steering.ServiceTag(drying), Last: true},
 			steering.Foreign,
 		},
@@ -145,7 +149,7 @@
 }
 
 func busyAgent(a *agentRun) {
-	a.Announce(a.now, announcement(1, 0, view.Ready))
+	a.announce(announcement(1, 0, view.Ready))
 	for port := range uint16(2) {
 		a.open(port + 1)
 		a.caller(fromCaller(port+1, 10), own)
@@ -157,7 +161,7 @@
 // taken.
 func TestAdmissionByExpectedWait(t *testing.T) {
 	a := newAgentRun(t)
-	a.Announce(a.now, announcement(1, 0, view.Ready))
+	a.announce(announcement(1, 0, view.Ready))
 	a.open(1)
 	a.caller(fromCaller(1, 10), own)
 	a.now = a.now.Add(25 * time.Millisecond)
@@ -209,8 +213,9 @@
 	a.now = a.Deadline()
 	a.Tick(a.now, &a.actions)
 	actions := a.take()
-	require.Len(t, actions, 1)
-	require.Equal(t, steering.Silent, actions[0].Message.Verdict)
+	require.Len(t, actions, 2)
+	require.Equal(t, steering.Probe, actions[0].Kind)
+	require.Equal(t, steering.Silent, actions[1].Message.Verdict)
 	require.Equal(t, steering.Silent, a.caller(syn(2), own)[0].Message.Verdict)
 	require.Equal(t, steering.Deliver, a.caller(syn(2), last(own))[0].Kind, "the last choice is tried all the same")
 }
@@ -242,6 +247,79 @@
 	require.Equal(t, steering.Known, a.caller(fromCaller(1, 10), own)[0].Reason)
 }
 
+// Guards against callers that wait for an upstream that has crashed: its agent
+// looks for it when an opening is not answered, and resets its flows when there is
+// no process, or when a later one announces itself.
+func TestFlowsOfACrashedUpstreamAreReset(t *testing.T) {
+	for name, end := range map[string]func(a *agentRun) []steering.Action{
+		"its process is gone": func(a *agentRun) []steering.Action {
+			a.caller(syn(9), last(own))
+			a.now = a.Deadline()
+			a.Tick(a.now, &a.actions)
+			actions := a.take()
+			require.Equal(t, steering.Probe, actions[0].Kind)
+			require.Equal(t, steering.Silent, actions[1].Message.Verdict)
+			require.False(t, a.Ended(a.now, actions[0].Incarnation-1, &a.actions), "a verdict on an earlier process")
+			require.Empty(t, a.take())
+			require.True(t, a.Ended(a.now, actions[0].Incarnation, &a.actions))
+			return a.take()
+		},
+		"it has started again": func(a *agentRun) []steering.Action {
+			a.announce(announcement(2, 0, view.Ready))
+			return a.take()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := readyAgent(t)
+			a.open(1)
+			a.caller(fromCaller(1, 10), own)
+			actions := end(a)
+			require.Len(t, actions, 1)
+			require.Equal(t, steering.Action{Kind: steering.Reset, Reason: steering.UpstreamLost, Flow: flowOf(1), Sequence: answerSeq + 1}, actions[0])
+			require.Equal(t, steering.Reset, a.caller(fromCaller(1, 10), own)[0].Kind, "a packet that crossed the reset")
+			require.Equal(t, steering.HoldsNot, a.locate(5, answerSeq+1))
+			busy, _ := a.Load()
+			require.Zero(t, busy)
+		})
+	}
+}
+
+// Guards against a probe for each opening that a silent upstream leaves without an
+// answer, and against an upstream that stays out after a wrong verdict.
+func TestSilentUpstreamIsProbedOnce(t *testing.T) {
+	a := readyAgent(t)
+	probes := 0
+	for port := uint16(1); port <= 5; port++ {
+		a.caller(syn(port), last(own))
+		a.now = a.now.Add(150 * time.Millisecond)
+		a.Tick(a.now, &a.actions)
+		for _, action := range a.take() {
+			if action.Kind == steering.Probe {
+				probes++
+			}
+		}
+	}
+	require.Equal(t, 1, probes)
+	require.True(t, a.Ended(a.now, 1, &a.actions))
+	require.Equal(t, steering.Leaving, a.caller(syn(8), last(own))[0].Message.Verdict)
+	require.True(t, a.announce(announcement(1, 1, view.Ready)))
+	require.Equal(t, steering.Deliver, a.caller(syn(9), last(own))[0].Kind)
+}
+
+// Guards against a reset of flows that were taken up before the first announcement
+// of their upstream.
+func TestFlowsFromBeforeTheFirstAnnouncement(t *testing.T) {
+	a := newAgentRun(t)
+	a.caller(fromCaller(1, 10), own)
+	a.upstream(fromUpstream(1, steering.ACK, 10))
+	require.True(t, a.announce(announcement(7, 30, view.Ready)))
+	require.Empty(t, a.take())
+	require.Equal(t, steering.Deliver, a.caller(fromCaller(1, 10), own)[0].Kind)
+	p := fromCaller(1, 10)
+	p.Flags |= steering.Returned
+	require.Equal(t, steering.Tell, a.upstream(p)[0].Kind)
+}
+
 // Guards against searches without an end after a loss of power: an upstream that
 // started with its agent holds no flow of before, and the agent knows it. An
 // upstream that was there earlier may hold any.
@@ -264,7 +342,7 @@
 			a.now = start.Add(time.Second)
 			n := announcement(7, c.sequence, view.Ready)
 			n.Born = start.Add(c.born)
-			a.Announce(a.now, n)
+			a.announce(n)
 			require.Equal(t, c.want, a.locate(1, answerSeq+1))
 		})
 	}
@@ -292,7 +370,7 @@
 	p.Flags |= steering.Returned
 	require.Equal(t, steering.NotFound, a.upstream(p)[0].Message.Kind)
 	require.Equal(t, steering.HoldsNot, a.locate(1, answerSeq+1))
-	a.Announce(a.now, announcement(2, 0, view.Ready))
+	a.announce(announcement(2, 0, view.Ready))
 	actions := a.upstream(p)
 	require.Equal(t, steering.Reset, actions[0].Kind)
 	require.Equal(t, p.Ack, actions[0].Sequence)
@@ -315,11 +393,11 @@
 // the same address.
 func TestAnnouncementsOfEarlierIncarnations(t *testing.T) {
 	a := newAgentRun(t)
-	require.True(t, a.Announce(a.now, announcement(5, 3, view.Ready)))
-	require.False(t, a.Announce(a.now, announcement(5, 4, view.Ready)), "nothing new")
-	require.False(t, a.Announce(a.now, announcement(4, 90, view.Leaving)))
-	require.False(t, a.Announce(a.now, announcement(5, 2, view.Leaving)))
-	require.True(t, a.Announce(a.now, announcement(6, 0, view.Ready)), "counts start again")
+	require.True(t, a.announce(announcement(5, 3, view.Ready)))
+	require.False(t, a.announce(announcement(5, 4, view.Ready)), "nothing new")
+	require.False(t, a.announce(announcement(4, 90, view.Leaving)))
+	require.False(t, a.announce(announcement(5, 2, view.Leaving)))
+	require.True(t, a.announce(announcement(6, 0, view.Ready)), "counts start again")
 	current, known := a.Upstream()
 	require.True(t, known)
 	require.EqualValues(t, 6, current.Incarnation)
--- a/internal/steering/agent_upstream.go
+++ b/internal/steering/agent_upstream.go
@@ -27,7 +27,7 @@
 	if p.Flags.Has(RST) || p.Flags.Has(SYN) || len(a.flows) >= a.cfg.MaxFlows {
 		return nil
 	}
-	f := &held{incarnation: a.upstream.Incarnation, answered: true, open: true, openedAt: now, seenAt: now}
+	f := &held{incarnation: a.upstream.Incarnation, answered: true, open: true, ack: p.Sequence, openedAt: now, seenAt: now}
 	a.flows[p.Flow] = f
 	a.stages[quiet]++
 	a.planSweep(now)
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -6,6 +6,7 @@
 
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
 // Flags are the properties of a packet that decisions depend on.
@@ -65,6 +66,9 @@
 	Reset
 	// Tell sends Message to the process at To.
 	Tell
+	// Probe asks whether the process of the upstream still exists; the answer goes
+	// to Agent.Ended.
+	Probe
 	// Wait: the balancer keeps an opening until it can be placed.
 	Wait
 	// Drop the packet.
@@ -112,6 +116,8 @@
 	Message Message
 	// Sequence is that of a Reset: the last acknowledgement of the caller.
 	Sequence uint32
+	// Incarnation is that of the upstream to Probe.
+	Incarnation vm.Incarnation
 	// Choice is set where an upstream was chosen for an opening.
 	Choice Choice
 }
