--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -55,8 +55,8 @@
 	next     int
 	askAt    time.Time
 	// asked is the control process that was asked last, at askedAt.
-	asked   *control
-	askedAt time.Time
+	asked    *control
+	askedAt  time.Time
 	version  uint64
 	fetchAt  time.Time
 	leader   netip.Addr
--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -214,9 +214,12 @@
 		if v := action.Message.Verdict.String(); v != "" {
 			line.Reason = v
 		}
-		if action.Message.Kind == steering.Accepted {
+		switch action.Message.Kind {
+		case steering.Located:
+			// balancerAsked writes a line for each flow.
+		case steering.Accepted:
 			a.Decisions.Ordinary(line)
-		} else {
+		default:
 			a.Decisions.Important(line)
 		}
 	case steering.Reply:
@@ -253,7 +256,23 @@
 
 // balancerAsked takes a question of a balancer.
 func (a *Agent) balancerAsked(from netip.Addr, m *steering.Message) {
-	a.message(func(now time.Time, out *[]steering.Action) { a.core.Message(now, from, m, out) })
+	a.message(func(now time.Time, out *[]steering.Action) {
+		a.core.Message(now, from, m, out)
+		for _, action := range *out {
+			a.observeAnswers(now, from, m, action.Message.Verdicts)
+		}
+	})
+}
+
+// observeAnswers writes a line for each flow that the upstream holds or may hold.
+// Those that it does not hold are counted only: each search asks all agents.
+func (a *Agent) observeAnswers(now time.Time, from netip.Addr, m *steering.Message, verdicts []steering.Verdict) {
+	for i, v := range verdicts {
+		a.count("searches." + v.String())
+		if v != steering.HoldsNot {
+			a.Decisions.Important(decisionlog.Line{At: now, Event: steering.Located.String(), Reason: v.String(), Flow: m.Questions[i].Flow, Peer: from})
+		}
+	}
 }
 
 func (a *Agent) answer(from netip.Addr, answer *directory.Answer) {
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -94,8 +94,8 @@
 	silentUntil time.Time
 	// probedAt is when the upstream was last looked for.
 	probedAt time.Time
-	flows       map[flow.Key]*held
-	doubts      map[flow.Key]doubt
+	flows    map[flow.Key]*held
+	doubts   map[flow.Key]doubt
 	// denials holds when the upstream returned a packet of a flow.
 	denials     map[flow.Key]time.Time
 	workCheckAt time.Time
@@ -350,21 +350,29 @@
 	return (denied && now.Sub(at) < denialLifetime) || a.upstream.Status == view.Failed || a.certain(now)
 }
 
-// Message answers a question of a balancer.
+// Message answers the questions of a balancer.
 func (a *Agent) Message(now time.Time, from netip.Addr, m *Message, out *[]Action) {
 	if m.Kind != Locate {
 		return
 	}
-	answer := Message{Kind: Located, Verdict: HoldsNot, Flow: m.Flow, Ack: m.Ack}
-	f := a.flows[m.Flow]
+	answer := Message{Kind: Located, Round: m.Round, Verdicts: make([]Verdict, 0, len(m.Questions))}
+	for i := range m.Questions {
+		answer.Verdicts = append(answer.Verdicts, a.verdict(now, from, &m.Questions[i]))
+	}
+	a.tell(from, answer, Known, out)
+}
+
+// verdict says whether the upstream holds a flow.
+func (a *Agent) verdict(now time.Time, from netip.Addr, q *Question) Verdict {
+	f := a.flows[q.Flow]
 	switch {
-	case f != nil && !f.lost && (f.open || (f.answered && m.Ack-f.answer <= ackWindow)):
-		answer.Verdict = Holds
+	case f != nil && !f.lost && (f.open || (f.answered && q.Ack-f.answer <= ackWindow)):
 		f.origin = from
-	case f == nil && !a.denies(now, m.Flow):
-		answer.Verdict = Unsure
+		return Holds
+	case f == nil && !a.denies(now, q.Flow):
+		return Unsure
 	}
-	a.tell(from, answer, Known, out)
+	return HoldsNot
 }
 
 func (a *Agent) tell(to netip.Addr, m Message, reason Reason, out *[]Action) {
--- a/internal/steering/agent_upstream.go
+++ b/internal/steering/agent_upstream.go
@@ -33,7 +33,7 @@
 	a.planSweep(now)
 	if doubted {
 		f.origin = d.origin
-		a.tell(d.origin, Message{Kind: Located, Verdict: Holds, Flow: p.Flow}, Known, out)
+		a.tell(d.origin, Message{Kind: Holding, Flow: p.Flow}, Known, out)
 	}
 	return f
 }
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -22,11 +22,6 @@
 	// openingLifetime is when a caller gives an opening up: 800 ms after its
 	// last copy, which is sent after 600 ms.
 	openingLifetime = 1400 * time.Millisecond
-	// locateInterval is how long agents may take to answer a question before
-	// those that have not are asked again, and locateTries how often they are
-	// asked. Together they stay below the first retransmission interval (200 ms).
-	locateInterval = 50 * time.Millisecond
-	locateTries    = 3
 	// trialTimeout is how long an upstream may take to return a packet that it is
 	// tried with.
 	trialTimeout = 150 * time.Millisecond
@@ -120,15 +115,6 @@
 	answer uint32
 }
 
-// search collects the answers to a Locate.
-type search struct {
-	// silent are the agents that have not answered, unsure those that may hold
-	// the flow.
-	silent []*target
-	unsure []*target
-	tries  int
-}
-
 // Balancer decides for a process on an entry VM.
 type Balancer struct {
 	cfg     BalancerConfig
@@ -143,8 +129,14 @@
 	due     []timer
 	sweepAt time.Time
 	link    linkMeter
-	// searches bounds the questions to agents.
-	searches *rate.Limiter
+	// queue holds the flows whose search has not begun, rounds the questions on
+	// their way or answered a short while ago. searches bounds the bytes that they
+	// take, and nextRoundAt is when the next one may start.
+	queue       []*entry
+	rounds      map[uint32]*round
+	roundNumber uint32
+	nextRoundAt time.Time
+	searches    *rate.Limiter
 	// complete is set when the directory has told all upstreams.
 	complete bool
 }
@@ -157,7 +149,7 @@
 // NewBalancer returns a balancer without routes and upstreams.
 func NewBalancer(cfg BalancerConfig) *Balancer {
 	return &Balancer{
-		cfg: cfg, link: newLinkMeter(cfg.LinkBitsPerSecond), searches: rate.NewLimiter(0, searchBurst), routes: map[netip.AddrPort]*intent.Route{}, removed: map[netip.AddrPort]bool{},
+		cfg: cfg, link: newLinkMeter(cfg.LinkBitsPerSecond), searches: rate.NewLimiter(0, 0), rounds: map[uint32]*round{}, routes: map[netip.AddrPort]*intent.Route{}, removed: map[netip.AddrPort]bool{},
 		targets: map[netip.Addr]*target{}, members: map[service.Name][]*target{}, flows: map[flow.Key]*entry{},
 	}
 }
@@ -325,6 +317,10 @@
 		return
 	}
 	t.heard(now, m)
+	if m.Kind == Located {
+		b.located(now, t, m, out)
+		return
+	}
 	e := b.flows[m.Flow]
 	if e == nil {
 		return
@@ -336,9 +332,9 @@
 		b.rejected(now, e, t, m, out)
 	case NotFound:
 		b.notFound(now, e, t, m, out)
-	case Located:
-		b.located(now, e, t, m, out)
-	case Locate:
+	case Holding:
+		b.holding(e, t, out)
+	case Locate, Located:
 	}
 }
 
@@ -354,6 +350,7 @@
 		e.deadline = time.Time{}
 		b.timedOut(now, e, out)
 	}
+	b.tickRounds(now, out)
 	if !b.sweepAt.IsZero() && !now.Before(b.sweepAt) {
 		b.sweep(now)
 	}
@@ -381,6 +378,9 @@
 	if i := b.nextDue(); i >= 0 && (next.IsZero() || b.due[i].at.Before(next)) {
 		next = b.due[i].at
 	}
+	if at := b.roundsDeadline(); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+		next = at
+	}
 	return next
 }
 
@@ -390,13 +390,11 @@
 		b.unanswered(now, e, out)
 	case waiting:
 		b.tryAgain(now, e, out)
-	case locating:
-		b.askAgain(now, e, out)
 	case trying:
 		b.trialEnded(now, e, out)
 	case missing:
-		b.startSearch(now, e, out)
-	case settled:
+		b.enqueue(now, e, out)
+	case settled, locating:
 	}
 }
 
--- a/internal/steering/message.go
+++ b/internal/steering/message.go
@@ -11,8 +11,8 @@
 // MessageKind says what a message tells.
 type MessageKind uint8
 
-// The kinds of messages. Accepted, Rejected, NotFound and Located go from
-// agents to balancers, Locate from balancers to agents.
+// The kinds of messages. Locate goes from balancers to agents, the others from
+// agents to balancers.
 const (
 	// Accepted: the upstream has answered the opening.
 	Accepted MessageKind = iota + 1
@@ -20,14 +20,16 @@
 	Rejected
 	// NotFound: the upstream does not hold the flow of a packet.
 	NotFound
-	// Locate asks who holds a flow.
+	// Locate asks which of some flows the upstream holds.
 	Locate
-	// Located answers Locate; Verdict is Holds, HoldsNot or Unsure.
+	// Located answers Locate with a verdict for each flow.
 	Located
+	// Holding: the upstream has sent a packet of a flow that it was tried with.
+	Holding
 )
 
 var messageNames = [...]string{
-	Accepted: "accepted", Rejected: "rejected", NotFound: "not_found", Locate: "locate", Located: "located",
+	Accepted: "accepted", Rejected: "rejected", NotFound: "not_found", Locate: "locate", Located: "located", Holding: "holding",
 }
 
 func (k MessageKind) String() string {
@@ -85,10 +87,26 @@
 	// Sequence is that of the opening, or in Accepted that of the upstream's
 	// answer.
 	Sequence uint32
-	// Ack is the acknowledgement number of the packet that a Locate is about.
+	// Ack is the acknowledgement number of the packet that was not found.
 	Ack uint32
 	// Load and Flows tell how busy the upstream is: requests in progress and
 	// open flows.
 	Load  uint16
 	Flows uint16
+	// Round numbers the questions of a balancer; an answer has the number of its
+	// question.
+	Round uint32
+	// Questions are set in Locate, Verdicts in Located: Holds, HoldsNot or Unsure
+	// for each question in their order.
+	Questions []Question
+	Verdicts  []Verdict
+}
+
+// Question asks about one flow.
+type Question struct {
+	_ struct{} `cbor:",toarray"`
+
+	Flow flow.Key
+	// Ack is the acknowledgement number of the caller's last packet.
+	Ack uint32
 }
