--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -131,6 +131,16 @@
 	exchange(t, start.Add(1100*time.Millisecond), c, s, address(1), nil)
 	require.True(t, c.Complete(), "every process has asked once")
 
+	s = newServer(4)
+	c = newClient(vm.RoleBalancer, 2, address(4))
+	exchange(t, start, c, s, address(4), nil)
+	for next := s.Deadline(); next.Sub(start) <= 1150*time.Millisecond; next = s.Deadline() {
+		for _, send := range s.Tick(next) {
+			c.Answer(next, address(4), send.Answer)
+		}
+	}
+	require.True(t, c.Complete(), "told without being asked")
+
 	fresh := newServer(3)
 	fresh.Merge(start, &directory.Answer{Records: []directory.Record{record(vm.RoleUpstream, 10, 1, 1, view.Ready)}}, true)
 	c = newClient(vm.RoleBalancer, 2, address(3))
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -68,7 +68,7 @@
 // Ask takes the record of a process and returns the answers to it and, if the
 // record was new, those for all subscribers.
 func (s *Server) Ask(now time.Time, a *Ask) []Send {
-	s.review(now)
+	completed := s.review(now)
 	changed := s.table.Put(now, &a.Self)
 	from := a.Position
 	if a.Epoch != s.cfg.Epoch {
@@ -97,12 +97,16 @@
 	if changed {
 		sends = append(sends, s.Changes(now)...)
 	}
+	if completed {
+		sends = append(sends, s.Notices(now)...)
+	}
 	return sends
 }
 
 // Merge takes over what another control process has told. complete says that it
 // has told a complete table.
 func (s *Server) Merge(now time.Time, a *Answer, complete bool) []Send {
+	completed := complete && !s.complete
 	s.complete = s.complete || complete
 	changed := false
 	for i := range a.Records {
@@ -110,22 +114,32 @@
 			changed = true
 		}
 	}
-	if !changed {
-		return nil
+	var sends []Send
+	if changed {
+		sends = s.Changes(now)
+	}
+	if completed {
+		sends = append(sends, s.Notices(now)...)
 	}
-	return s.Changes(now)
+	return sends
 }
 
-// review declares the table complete when every process must have asked once:
-// completeAfter the start, or earlier if there are few control processes, which
-// are asked in turn.
-func (s *Server) review(now time.Time) {
-	if s.complete {
-		return
-	}
+// completeAt is when every process must have asked once: completeAfter the start,
+// or earlier if there are few control processes, which are asked in turn.
+func (s *Server) completeAt() time.Time {
 	controls := 0
 	s.table.Entries(vm.RoleControl, func(*Entry) { controls++ })
-	s.complete = now.Sub(s.cfg.Started) > min(askInterval*time.Duration(controls+1), completeAfter)
+	return s.cfg.Started.Add(min(askInterval*time.Duration(controls+1), completeAfter))
+}
+
+// review declares the table complete if it is time, and reports whether that is
+// new.
+func (s *Server) review(now time.Time) bool {
+	if s.complete || !now.After(s.completeAt()) {
+		return false
+	}
+	s.complete = true
+	return true
 }
 
 // Changes returns what subscribers do not have yet.
@@ -145,7 +159,7 @@
 }
 
 // Notices returns an answer without records for every subscriber, so that it
-// learns of a new version at once.
+// learns of a new version, or that the table is complete, at once.
 func (s *Server) Notices(now time.Time) []Send {
 	var sends []Send
 	for address, sub := range s.subscribers {
@@ -156,21 +170,31 @@
 	return sends
 }
 
-// Tick looks for silent processes.
+// Tick looks for silent processes, and tells subscribers when the table is
+// complete: their searches wait for it.
 func (s *Server) Tick(now time.Time) []Send {
-	if now.Before(s.expireAt) {
-		return nil
+	completed := s.review(now)
+	var sends []Send
+	if !now.Before(s.expireAt) {
+		s.expireAt = now.Add(expireInterval)
+		s.cfg.Self.Revision++
+		s.table.Put(now, &s.cfg.Self)
+		s.table.Expire(now)
+		sends = s.Changes(now)
+	}
+	if completed {
+		sends = append(sends, s.Notices(now)...)
 	}
-	s.expireAt = now.Add(expireInterval)
-	s.review(now)
-	s.cfg.Self.Revision++
-	s.table.Put(now, &s.cfg.Self)
-	s.table.Expire(now)
-	return s.Changes(now)
+	return sends
 }
 
 // Deadline returns when Tick has something to do next.
-func (s *Server) Deadline() time.Time { return s.expireAt }
+func (s *Server) Deadline() time.Time {
+	if at := s.completeAt().Add(time.Millisecond); !s.complete && at.Before(s.expireAt) {
+		return at
+	}
+	return s.expireAt
+}
 
 // answers splits the changes after a position into messages.
 func (s *Server) answers(role vm.Role, to netip.Addr, from uint64) []Send {
--- a/internal/steering/balancer_test.go
+++ b/internal/steering/balancer_test.go
@@ -43,12 +43,13 @@
 	t       *testing.T
 	now     time.Time
 	actions []steering.Action
-	// asked holds the last questions to each agent.
-	asked map[int]steering.Message
+	// asked holds the last questions to each agent, rounds the numbers of all.
+	asked  map[int]steering.Message
+	rounds map[uint32]bool
 }
 
 func newBalancerRun(t *testing.T, upstreams ...steering.Upstream) *balancerRun {
-	b := &balancerRun{t: t, now: start, asked: map[int]steering.Message{}, Balancer: steering.NewBalancer(steering.BalancerConfig{
+	b := &balancerRun{t: t, now: start, asked: map[int]steering.Message{}, rounds: map[uint32]bool{}, Balancer: steering.NewBalancer(steering.BalancerConfig{
 		Zone: near, MaxFlows: 1000, Random: rand.New(rand.NewPCG(1, 2)),
 	})}
 	b.SetDesired(desired(1, intent.Share{Service: orders, Weight: 1}))
@@ -62,6 +63,7 @@
 	for _, a := range taken {
 		if a.Kind == steering.Tell {
 			b.asked[number(a.To)] = a.Message
+			b.rounds[a.Message.Round] = true
 		}
 	}
 	return taken
@@ -402,16 +404,18 @@
 
 // Guards against callers that wait for seconds after a loss of power on a slow
 // link, because their dead flows are searched one by one, and against searches that
-// take more of the link than their share. The flows of one balancer send within
-// 200 ms, and each agent answers after 15 ms.
+// take more of the link than their share. Each agent answers 15 ms after it has
+// got its questions.
 func TestManyDeadFlowsOnASlowLink(t *testing.T) {
 	for name, c := range map[string]struct {
 		link   float64
 		agents int
-		limit  time.Duration
+		// within is the time in which the flows send.
+		within, limit time.Duration
 	}{
-		"58 agents, 3.9 Mbit/s":   {3.9e6, 58, 2 * time.Second},
-		"12 agents, 1,000 Mbit/s": {1e9, 12, 600 * time.Millisecond},
+		"58 agents, 3.9 Mbit/s":          {3.9e6, 58, 200 * time.Millisecond, 2 * time.Second},
+		"58 agents, 3.9 Mbit/s, at once": {3.9e6, 58, 0, 2 * time.Second},
+		"12 agents, 1,000 Mbit/s":        {1e9, 12, 200 * time.Millisecond, 600 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			const flows, answerAfter = 40, 15 * time.Millisecond
@@ -430,7 +434,9 @@
 			}
 			var answers []answer
 			reset := map[uint16]bool{}
-			bytes := 0
+			bytes, asked := 0, 0
+			// linkFree is when the link has carried all questions so far.
+			var linkFree time.Time
 			handle := func(actions []steering.Action) {
 				for _, a := range actions {
 					switch a.Kind {
@@ -446,18 +452,26 @@
 						require.NoError(t, err)
 						const headers = 2 * (28 + 9)
 						bytes += len(payload) + len(back) + headers
-						answers = append(answers, answer{b.now.Add(answerAfter), number(a.To), m})
+						asked++
+						if linkFree.Before(b.now) {
+							linkFree = b.now
+						}
+						// Packets of callers take 0.6 of the link.
+						linkFree = linkFree.Add(time.Duration(1 / 0.4 * float64(len(payload)+headers/2) * 8 / c.link * float64(time.Second)))
+						answers = append(answers, answer{linkFree.Add(answerAfter), number(a.To), m})
+					case steering.Drop:
+						require.NotEqual(t, steering.AgentSilent, a.Reason, "the questions were still on the link")
 					case steering.Reset:
 						require.Equal(t, steering.NobodyHolds, a.Reason)
 						reset[a.Flow.Caller.Port()] = true
 					}
 				}
 			}
-			for port := uint16(1); port <= flows; port++ {
-				handle(b.packet(fromCaller(port, 10)))
-				b.now = b.now.Add(200 * time.Millisecond / flows)
-			}
+			sent := 0
 			for len(reset) < flows && b.now.Sub(start) < c.limit {
+				for ; sent < flows && b.now.Sub(start) >= c.within/flows*time.Duration(sent); sent++ {
+					handle(b.packet(fromCaller(uint16(1+sent), 10)))
+				}
 				b.now = b.now.Add(time.Millisecond)
 				for len(answers) > 0 && !b.now.Before(answers[0].at) {
 					a := answers[0]
@@ -469,6 +483,7 @@
 				handle(b.take())
 			}
 			require.Len(t, reset, flows)
+			require.LessOrEqual(t, asked, len(b.rounds)*c.agents, "asked again while the questions were on the link")
 			require.LessOrEqual(t, float64(bytes), 0.2*c.link/8*(b.now.Sub(start)+300*time.Millisecond).Seconds())
 		})
 	}
--- a/internal/steering/rounds.go
+++ b/internal/steering/rounds.go
@@ -12,7 +12,8 @@
 const (
 	// locateInterval is how long agents may take to answer a question before
 	// those that have not are asked again, and locateTries how often they are
-	// asked. Together they stay below the first retransmission interval (200 ms).
+	// asked, besides the time that the questions take on the link. Together they
+	// stay below the first retransmission interval (200 ms).
 	locateInterval = 50 * time.Millisecond
 	locateTries    = 3
 	// roundLifetime is how long late answers to a question count.
@@ -88,8 +89,8 @@
 		e.search.round = r.number
 	}
 	b.rounds[r.number] = r
-	b.nextRoundAt = now.Add(locateInterval)
 	b.ask(now, r, out)
+	b.nextRoundAt = r.at
 }
 
 // holders returns the agents whose upstreams may hold a flow.
@@ -142,7 +143,7 @@
 // ask sends the questions to the agents that have not answered.
 func (b *Balancer) ask(now time.Time, r *round, out *[]Action) {
 	r.tries++
-	r.at = now.Add(locateInterval)
+	r.at = now.Add(locateInterval + b.transmission(searchBytes(len(r.silent), len(r.entries))))
 	m := Message{Kind: Locate, Round: r.number, Questions: make([]Question, 0, len(r.entries))}
 	for _, e := range r.entries {
 		m.Questions = append(m.Questions, Question{Flow: e.key, Ack: e.ack})
@@ -152,6 +153,16 @@
 	}
 }
 
+// transmission returns how long so many bytes take on the link while packets of
+// callers use as much of it.
+func (b *Balancer) transmission(size int) time.Duration {
+	const bitsPerByte, shares = 8, 2
+	if b.cfg.LinkBitsPerSecond == 0 {
+		return 0
+	}
+	return time.Duration(shares * float64(size*bitsPerByte) / b.cfg.LinkBitsPerSecond * float64(time.Second))
+}
+
 // asks reports whether a flow still waits for the answers of a round.
 func (b *Balancer) asks(r *round, e *entry) bool {
 	return b.flows[e.key] == e && e.state == locating && e.search != nil && e.search.round == r.number
--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -111,7 +112,15 @@
 // denied the flow both times. The second search follows by itself, so that the
 // caller need not wait until it repeats its packet.
 func (b *Balancer) notHeld(now time.Time, e *entry, out *[]Action) {
-	certain := b.complete && !awaited(e.search.silent) && len(e.search.unsure) == 0 && !e.reset
+	doubt := b.doubt(e)
+	certain := doubt == "" && !e.reset
+	var suspect netip.Addr
+	switch doubt {
+	case AgentSilent:
+		suspect = e.search.silent[0].Address.Addr()
+	case AgentUnsure:
+		suspect = e.search.unsure[0].Address.Addr()
+	}
 	e.search, e.target = nil, nil
 	if certain && e.denied {
 		delete(b.flows, e.key)
@@ -120,12 +129,29 @@
 	}
 	e.state, e.denied, e.missedAt, e.deadline = missing, certain, now, time.Time{}
 	e.misses++
+	if e.reset {
+		doubt = NotHeld
+	}
 	if certain {
 		b.plan(e, now.Add(confirmPause))
 		return
 	}
 	e.held = nil
-	*out = append(*out, Action{Kind: Drop, Reason: NotHeld, Flow: e.key})
+	*out = append(*out, Action{Kind: Drop, Reason: doubt, Flow: e.key, To: suspect})
+}
+
+// doubt says why an upstream may hold a flow that was not found; empty if none
+// can.
+func (b *Balancer) doubt(e *entry) Reason {
+	switch {
+	case !b.complete:
+		return DirectoryIncomplete
+	case awaited(e.search.silent):
+		return AgentSilent
+	case len(e.search.unsure) > 0:
+		return AgentUnsure
+	}
+	return ""
 }
 
 // searchMissing searches for the flows that were not found while the directory
