--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GOFUMPT := go run mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
 PROGRAMS := $(notdir $(wildcard cmd/*))
 
-.PHONY: build test fmt lint generate e2e slopes bench dev measure
+.PHONY: build test fmt lint generate e2e slopes bench dev measure soak soak-short soak-fresh
 
 build: ## Builds all programs into bin/.
 	go build -o bin/ ./cmd/...
@@ -38,6 +38,16 @@
 	go test -run '^$$' -bench Forwarding -benchtime 2s -count 3 ./internal/node
 	go test -run '^$$' -bench . ./internal/frame ./internal/packet ./internal/balancer ./internal/agent
 
+SEEDS := 50
+soak: build ## Runs the platform programs under faults, SEEDS seeds.
+	bin/bramley-dev soak --regressions --seeds $(SEEDS)
+
+soak-short: build ## The fixed seeds of CI.
+	bin/bramley-dev soak --regressions --seed 0 --seed 1 --seed 2
+
+soak-fresh: build ## Fresh seeds for five minutes.
+	bin/bramley-dev soak --fresh 5m
+
 dev: ## Runs a fleet on loopback with stand-in upstreams; needs root for TUN devices.
 	go run ./cmd/bramley-dev up
 
--- a/cmd/bramley-dev/main.go
+++ b/cmd/bramley-dev/main.go
@@ -13,6 +13,7 @@
 	"bramleyhold.example/bramleyhold/internal/measure"
 	"bramleyhold.example/bramleyhold/internal/settings"
 	"bramleyhold.example/bramleyhold/internal/slopes"
+	"bramleyhold.example/bramleyhold/internal/soak"
 	"bramleyhold.example/bramleyhold/internal/standin"
 )
 
@@ -21,7 +22,7 @@
 	root := &cli.Command{
 		Name:     "bramley-dev",
 		Usage:    "run and measure all roles of a fleet on one machine",
-		Commands: []*cli.Command{fleet.Command(), measure.Command(), slopes.Command(), standin.Command()},
+		Commands: []*cli.Command{fleet.Command(), measure.Command(), slopes.Command(), standin.Command(), soak.Command()},
 	}
 	err := root.Run(ctx, os.Args)
 	stop()
--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -134,7 +134,7 @@
 	switch a.Kind {
 	case steering.Forward:
 		b.Codec.SetMark(a.Data, a.Mark)
-		_, err := b.packets.WriteToUDPAddrPort(a.Data, netip.AddrPortFrom(a.To, b.cfg.Packets.Port()))
+		_, err := b.packets.WriteToUDPAddrPort(a.Data, netip.AddrPortFrom(a.To, b.cfg.Packets.Port()+b.cfg.RelayOffset))
 		b.lost(err)
 	case steering.Reset:
 		var buffer [64]byte
--- a/internal/fabric/config.go
+++ b/internal/fabric/config.go
@@ -35,8 +35,12 @@
 	// NodePort and ControlPort are the UDP ports between processes: those of
 	// balancers and agents, and those of control. They are the same on all VMs.
 	NodePort, ControlPort uint16
-	Seeds                 []netip.Addr
-	Service               service.Name
+	// RelayOffset is added to the ports of other processes when packets and
+	// messages are sent to them; a relay listens there that delays or drops some.
+	// Zero outside of tests.
+	RelayOffset uint16
+	Seeds       []netip.Addr
+	Service     service.Name
 	// FirstStart is set when the whole deployment starts with empty disks.
 	FirstStart bool
 	// Counted is set on VMs whose loss counts against Losses, the number of VMs
--- a/internal/fabric/link.go
+++ b/internal/fabric/link.go
@@ -42,10 +42,12 @@
 // link carries messages between processes over UDP. A lost part loses its
 // message; senders repeat what still matters.
 type link struct {
-	conn     *net.UDPConn
-	handlers [kindCount]func(from netip.Addr, payload []byte)
-	number   uint32
-	partial  map[partialKey]*partialMessage
+	conn *net.UDPConn
+	// relayOffset is added to the ports that messages go to.
+	relayOffset uint16
+	handlers    [kindCount]func(from netip.Addr, payload []byte)
+	number      uint32
+	partial     map[partialKey]*partialMessage
 }
 
 type partialKey struct {
@@ -60,12 +62,12 @@
 	at      time.Time
 }
 
-func openLink(address netip.Addr, port uint16) (*link, error) {
+func openLink(address netip.Addr, port, relayOffset uint16) (*link, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(address, port)))
 	if err != nil {
 		return nil, fmt.Errorf("open link: %w", err)
 	}
-	return &link{conn: conn, partial: map[partialKey]*partialMessage{}}, nil
+	return &link{conn: conn, relayOffset: relayOffset, partial: map[partialKey]*partialMessage{}}, nil
 }
 
 // send encodes a message and sends it. Errors are those of a full buffer or an
@@ -83,6 +85,7 @@
 	if count > maxParts {
 		return fmt.Errorf("message of %d bytes exceeds the limit of %d", len(payload), maxParts*maxPartBytes)
 	}
+	to = netip.AddrPortFrom(to.Addr(), to.Port()+l.relayOffset)
 	l.number++
 	var buffer [linkHeader + maxPartBytes]byte
 	for i := range count {
--- a/internal/fabric/link_test.go
+++ b/internal/fabric/link_test.go
@@ -23,12 +23,12 @@
 // Guards against messages above the size of a datagram that are cut, and against
 // parts that arrive twice, in another order or not at all.
 func TestLargeMessages(t *testing.T) {
-	receiver, err := openLink(netip.MustParseAddr("127.77.1.1"), 0)
+	receiver, err := openLink(netip.MustParseAddr("127.77.1.1"), 0, 0)
 	require.NoError(t, err)
 	received := make(chan string, 4)
 	handle(receiver, kindAsk, func(error) {}, func(_ netip.Addr, m *greeting) { received <- m.Text })
 	go func() { _ = receiver.receive() }()
-	from, err := openLink(netip.MustParseAddr("127.77.1.2"), 0)
+	from, err := openLink(netip.MustParseAddr("127.77.1.2"), 0, 0)
 	require.NoError(t, err)
 	t.Cleanup(func() { _, _ = receiver.conn.Close(), from.conn.Close() })
 	to := netip.MustParseAddrPort(receiver.conn.LocalAddr().String())
--- a/internal/fabric/node.go
+++ b/internal/fabric/node.go
@@ -58,7 +58,7 @@
 }
 
 func newNode(cfg Config, env Environment, role vm.Role, port uint16, subscribe bool) (*node, error) {
-	l, err := openLink(cfg.Address, port)
+	l, err := openLink(cfg.Address, port, cfg.RelayOffset)
 	if err != nil {
 		return nil, err
 	}
