--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -33,7 +33,7 @@
 	voters         = 3
 	balancers      = 5
 	agents         = 5
-	callers        = 8
+	callers        = 24
 	upstreamSlots  = 4
 	firstBalancer  = 1
 	firstAgent     = 101
