--- a/internal/measure/everything.go
+++ b/internal/measure/everything.go
@@ -59,11 +59,8 @@
 // anyUpstream returns a random upstream of a random service.
 func (w *world) anyUpstream() *machine {
 	load := w.changes.IntN(len(w.loads))
-	count := 0
-	for w.upstream(load, count) != nil {
-		count++
-	}
-	return w.upstream(load, w.changes.IntN(count))
+	list := w.upstreams(w.loads[load].Name)
+	return list[w.changes.IntN(len(list))]
 }
 
 // suspect lets observers wrongly suspect a member until it answers.
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramleyhold.example/bramleyhold/internal/intent"
+	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/view"
 	"bramleyhold.example/bramleyhold/internal/vm"
 )
@@ -52,17 +53,22 @@
 	w.after(w.begin.Sub(w.now)+time.Duration(share*float64(w.duration())), f)
 }
 
-// upstream returns the nth upstream of a service.
-func (w *world) upstream(load, n int) *machine {
+// upstreams returns the upstreams of a service.
+func (w *world) upstreams(name service.Name) []*machine {
+	var list []*machine
 	for _, m := range w.machines {
-		if m.server != nil && m.service == w.loads[load].Name {
-			if n == 0 {
-				return m
-			}
-			n--
+		if m.server != nil && m.service == name {
+			list = append(list, m)
 		}
 	}
-	return nil
+	return list
+}
+
+// upstream returns the nth upstream of a service, counted on from the first one
+// where there are fewer.
+func (w *world) upstream(load, n int) *machine {
+	list := w.upstreams(w.loads[load].Name)
+	return list[n%len(list)]
 }
 
 func (w *world) balancer(n int) *machine {
@@ -306,7 +312,8 @@
 }
 
 func (w *world) replaceUpstream(m *machine, to *serviceRun) {
-	if !m.alive {
+	if !m.alive || len(w.upstreams(m.service)) < 2 {
+		// A service keeps its last upstream.
 		return
 	}
 	w.crashUpstream(m)
--- a/internal/measure/targets_test.go
+++ b/internal/measure/targets_test.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -172,3 +173,18 @@
 		require.NotZero(t, r.OpeningsWaitedWhenFree, policy)
 	}
 }
+
+// Guards against scenarios that end with a panic where a service has few upstreams.
+func TestScenariosOfSmallServices(t *testing.T) {
+	for _, scenario := range Scenarios() {
+		for _, upstreams := range []int{2, 3} {
+			t.Run(fmt.Sprint(scenario, " ", upstreams), func(t *testing.T) {
+				t.Parallel()
+				o := short(scenario, Bramley)
+				o.Upstreams, o.Flows = upstreams, 200
+				_, err := Run(o)
+				require.NoError(t, err)
+			})
+		}
+	}
+}
