--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -151,6 +151,9 @@
 // new: packets of known flows are counted only.
 func (b *Balancer) observe(a *steering.Action) {
 	b.outcomes.count(a)
+	if a.Waited > 0 {
+		b.observeTime("searches.us", a.Waited)
+	}
 	line := decisionlog.Line{
 		At: time.Now(), Event: eventNames[a.Kind], Reason: string(a.Reason), Flow: a.Flow, Peer: a.To, Version: b.version,
 	}
--- a/internal/fabric/control.go
+++ b/internal/fabric/control.go
@@ -126,7 +126,7 @@
 		return err
 	}
 	q, err := control.OpenQuorum(control.QuorumOptions{
-		Consensus: c.consensusOptions(), Files: files, Send: c.sendConsensus, Changed: c.changed, Random: newRandom(),
+		Consensus: c.consensusOptions(), Files: c.timed(files), Send: c.sendConsensus, Changed: c.changed, Random: newRandom(),
 	})
 	if err != nil {
 		return errors.Join(err, files.Close())
@@ -136,6 +136,11 @@
 	return q.Run(ctx)
 }
 
+// timed observes the syncs of the disk: a slow one holds up every proposal.
+func (c *Control) timed(files logstore.FileSystem) logstore.FileSystem {
+	return logstore.Timed(files, func(took time.Duration) { c.observeTime("disk.syncs.us", took) })
+}
+
 func replicaID(a netip.Addr) vm.ID { return vm.ID(a.String()) }
 
 func (c *Control) consensusOptions() consensus.Options {
@@ -334,6 +339,8 @@
 
 // Read returns the document in force, or nil.
 func (c *Control) Read(ctx context.Context) (document []byte, err error) {
+	began := time.Now()
+	defer func() { c.observeTime("reads.us", time.Since(began)) }()
 	err = c.atLeader(ctx, func(ctx context.Context, q *control.Quorum) error {
 		state, err := q.Read(ctx)
 		if err == nil && state.Desired != nil {
--- /dev/null
+++ b/internal/logstore/timed_test.go
@@ -0,0 +1,32 @@
+package logstore
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a disk whose slow syncs nobody sees, and against a wrapper that
+// loses what is written.
+func TestTimedTellsOfSyncs(t *testing.T) {
+	plain, err := OpenFolder(t.TempDir())
+	require.NoError(t, err)
+	syncs := 0
+	files := Timed(plain, func(time.Duration) { syncs++ })
+	for _, open := range []func(string) (File, error){files.Create, files.Append} {
+		f, err := open("a")
+		require.NoError(t, err)
+		_, err = f.Write([]byte("x"))
+		require.NoError(t, err)
+		require.NoError(t, f.Sync())
+		require.NoError(t, f.Close())
+	}
+	content, err := files.ReadFile("a")
+	require.NoError(t, err)
+	require.Equal(t, "xx", string(content))
+	require.Equal(t, 2, syncs)
+	_, err = files.Append("missing")
+	require.Error(t, err)
+	require.NoError(t, files.Close())
+}
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -94,8 +94,10 @@
 	// reset: the caller has ended the flow by a reset.
 	reset  bool
 	search *search
-	held   [][]byte
-	ack    uint32
+	// searchedAt is when the first of the searches in progress began.
+	searchedAt time.Time
+	held       [][]byte
+	ack        uint32
 	// missedAt is when the last search found no holder; denied says that every
 	// upstream of a complete directory denied the flow in it.
 	missedAt time.Time
@@ -333,7 +335,7 @@
 	case NotFound:
 		b.notFound(now, e, t, m, out)
 	case Holding:
-		b.holding(e, t, out)
+		b.holding(now, e, t, out)
 	case Locate, Located:
 	}
 }
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -123,6 +123,8 @@
 	Sequence uint32
 	// Incarnation is that of the upstream to Probe.
 	Incarnation vm.Incarnation
+	// Waited is how long a search took that has ended with a holder or a reset.
+	Waited time.Duration
 	// Choice is set where an upstream was chosen for an opening.
 	Choice Choice
 }
--- a/internal/steering/rounds.go
+++ b/internal/steering/rounds.go
@@ -60,6 +60,9 @@
 		return
 	}
 	e.state, e.target, e.search, e.deadline = locating, nil, &search{}, time.Time{}
+	if e.searchedAt.IsZero() {
+		e.searchedAt = now
+	}
 	b.queue = append(b.queue, e)
 	b.startRound(now, out)
 }
@@ -185,7 +188,7 @@
 		}
 		switch {
 		case m.Verdicts[i] == Holds:
-			b.holding(e, t, out)
+			b.holding(now, e, t, out)
 		case m.Verdicts[i] == Unsure && first && b.asks(r, e):
 			e.search.unsure = append(e.search.unsure, t)
 		}
--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -41,14 +41,19 @@
 }
 
 // settle sends what has waited to the holder.
-func (b *Balancer) settle(e *entry, t *target, reason Reason, out *[]Action) {
+func (b *Balancer) settle(now time.Time, e *entry, t *target, reason Reason, out *[]Action) {
 	if e.state == trying && len(e.held) > 0 {
 		// The holder has had the first one.
 		e.held = e.held[1:]
 	}
 	e.state, e.target, e.search = settled, t, nil
 	e.deadline, e.denied, e.missedAt, e.misses = time.Time{}, false, time.Time{}, 0
+	first := len(*out)
 	b.release(e, reason, out)
+	if first < len(*out) {
+		(*out)[first].Waited = now.Sub(e.searchedAt)
+	}
+	e.searchedAt = time.Time{}
 }
 
 func (b *Balancer) release(e *entry, reason Reason, out *[]Action) {
@@ -78,9 +83,9 @@
 
 // holding settles a flow on an agent whose upstream has sent a packet of it, or
 // that has said so: the holder knows best, also late.
-func (b *Balancer) holding(e *entry, t *target, out *[]Action) {
+func (b *Balancer) holding(now time.Time, e *entry, t *target, out *[]Action) {
 	if e.state == locating || e.state == trying || e.state == missing {
-		b.settle(e, t, Found, out)
+		b.settle(now, e, t, Found, out)
 	}
 }
 
@@ -104,7 +109,7 @@
 		b.notHeld(now, e, out)
 		return
 	}
-	b.settle(e, e.search.unsure[0], Found, out)
+	b.settle(now, e, e.search.unsure[0], Found, out)
 }
 
 // notHeld ends a search without a holder. The caller is told only after a second
@@ -124,7 +129,7 @@
 	e.search, e.target = nil, nil
 	if certain && e.denied {
 		delete(b.flows, e.key)
-		*out = append(*out, Action{Kind: Reset, Reason: NobodyHolds, Flow: e.key, Sequence: e.ack})
+		*out = append(*out, Action{Kind: Reset, Reason: NobodyHolds, Flow: e.key, Sequence: e.ack, Waited: now.Sub(e.searchedAt)})
 		return
 	}
 	e.state, e.denied, e.missedAt, e.deadline = missing, certain, now, time.Time{}
