--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -25,6 +25,9 @@
 	agentIdleTimeout = 20 * time.Second
 	// maxAgentFlows bounds the remembered flows; upstreams hold some thousands.
 	maxAgentFlows = 20_000
+	// firstCheckIn is how long an agent waits for a check-in before it looks for the
+	// upstream itself. Both start together when a VM does.
+	firstCheckIn = 100 * time.Millisecond
 	// probeTimeout bounds the search for the process of the upstream; it runs on
 	// the same VM.
 	probeTimeout = 300 * time.Millisecond
@@ -82,6 +85,8 @@
 	group.Go(func() error { return a.receivePackets(a.packets, false, a.callerPacket) })
 	group.Go(func() error { return a.receivePackets(a.outbound, true, a.upstreamPacket) })
 	a.tell(func(*directory.Record) {})
+	startProbe := time.AfterFunc(firstCheckIn, a.probeAtStart)
+	defer startProbe.Stop()
 	<-ctx.Done()
 	gone := !a.Ready() && a.probe(a.incarnation())
 	a.tell(func(r *directory.Record) {
@@ -146,9 +151,9 @@
 	a.Announce(current)
 }
 
-// probe looks for the process of the upstream. Only a refused connection shows
+// upstreamGone looks for the process of the upstream. Only a refused connection shows
 // that it is gone; without any answer it may be slow or cut off.
-func (a *Agent) probe(incarnation vm.Incarnation) (gone bool) {
+func (a *Agent) upstreamGone() bool {
 	conn, err := net.DialTimeout("tcp", a.cfg.Upstream.String(), probeTimeout)
 	if err == nil {
 		a.lost(conn.Close())
@@ -158,11 +163,36 @@
 		a.Log.WithError(err).Info("upstream does not answer a probe")
 		return false
 	}
+	return true
+}
+
+// probe looks for the process of an upstream that does not answer openings.
+func (a *Agent) probe(incarnation vm.Incarnation) (gone bool) {
+	if !a.upstreamGone() {
+		return false
+	}
 	now := time.Now()
 	a.publish(now, func(out *[]steering.Action) bool { return a.core.Ended(now, incarnation, out) })
 	return true
 }
 
+// probeAtStart tells that there is no upstream, if there is none.
+func (a *Agent) probeAtStart() {
+	a.mu.Lock()
+	_, known := a.core.Upstream()
+	a.mu.Unlock()
+	if known || !a.upstreamGone() {
+		return
+	}
+	a.mu.Lock()
+	news := !a.stopping && a.core.Absent()
+	a.mu.Unlock()
+	if news {
+		a.Log.Info("no upstream runs here yet")
+		a.tell(func(r *directory.Record) { r.Status = view.Left })
+	}
+}
+
 // incarnation returns that of the upstream; zero if it is unknown.
 func (a *Agent) incarnation() vm.Incarnation {
 	a.mu.Lock()
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -88,6 +88,8 @@
 	upstream Announcement
 	// known is set by the first announcement of this life of the agent.
 	known bool
+	// absent: there was no upstream when this agent looked for it.
+	absent bool
 	// sawStart is set when this agent has seen all packets of the upstream's
 	// incarnation.
 	sawStart    bool
@@ -186,7 +188,7 @@
 	changed := !a.known || n.Incarnation != before.Incarnation || n.Status != before.Status || n.Slots != before.Slots || n.VM != before.VM
 	if n.Incarnation != before.Incarnation {
 		a.silentUntil = time.Time{}
-		a.sawStart = a.known || a.startedTogether(now, &n)
+		a.sawStart = a.known || a.absent || a.startedTogether(now, &n)
 		if a.known {
 			a.endFlows(now, n.Incarnation, out)
 		}
@@ -341,7 +343,7 @@
 	if now.Sub(a.cfg.Started) > a.cfg.IdleTimeout+sweepInterval {
 		return true
 	}
-	return a.sawStart
+	return a.sawStart || (a.absent && !a.known)
 }
 
 // denies reports whether the upstream certainly does not hold an unknown flow.
--- a/internal/steering/agent_end.go
+++ b/internal/steering/agent_end.go
@@ -22,6 +22,18 @@
 	return true
 }
 
+// Absent notes that there is no process of the upstream, before it has announced
+// itself: no flow is held here. It answers the pattern in which the VM of an
+// upstream that has left comes back with all others and is taken away, without a
+// word, while every flow is searched. It reports whether that is news.
+func (a *Agent) Absent() bool {
+	if a.known || a.absent {
+		return false
+	}
+	a.absent = true
+	return true
+}
+
 // endFlows resets the open flows of incarnations before next. It answers the
 // pattern in which an upstream crashes under load: its callers would wait for
 // their whole time, and learn of it by nothing else.
--- a/internal/steering/agent_test.go
+++ b/internal/steering/agent_test.go
@@ -322,6 +322,23 @@
 	require.Equal(t, steering.Tell, a.upstream(p)[0].Kind)
 }
 
+// Guards against searches that stay uncertain because of a VM whose upstream has
+// left: its agent knows that there is none, and is certain about one that starts
+// later.
+func TestAgentWithoutUpstream(t *testing.T) {
+	a := newAgentRun(t)
+	require.Equal(t, steering.Unsure, a.locate(1, answerSeq+1))
+	require.True(t, a.Absent())
+	require.False(t, a.Absent())
+	require.Equal(t, steering.HoldsNot, a.locate(1, answerSeq+1))
+	require.Equal(t, steering.Unready, a.caller(syn(2), own)[0].Message.Verdict)
+	require.True(t, a.announce(announcement(7, 30, view.Ready)))
+	require.Equal(t, steering.HoldsNot, a.locate(1, answerSeq+1))
+	require.False(t, a.Absent(), "the upstream has announced itself")
+	a.open(3)
+	require.Equal(t, steering.Holds, a.locate(3, answerSeq+1))
+}
+
 // Guards against searches without an end after a loss of power: an upstream that
 // started with its agent holds no flow of before, and the agent knows it. An
 // upstream that was there earlier may hold any.
