--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bramleyhold.example/bramleyhold/internal/view"
 	"bramleyhold.example/bramleyhold/internal/vm"
 )
@@ -31,6 +33,13 @@
 	fetchInterval = 100 * time.Millisecond
 	// maxControls bounds the control processes that are asked.
 	maxControls = 16
+	// subscriptions is from how many control processes a balancer gets changes. Each
+	// change costs a datagram for each balancer and subscription; with three, two may
+	// be lost at once.
+	subscriptions = 3
+	// subscriptionTimeout is after which time without a word another control process
+	// takes the place of one: they send something each expireInterval.
+	subscriptionTimeout = 2500 * time.Millisecond
 	// controlLifetime is how long a control process that does not answer is
 	// asked, unless the settings name it.
 	controlLifetime = 30 * time.Second
@@ -146,14 +155,14 @@
 	update(&c.cfg.Self)
 	c.cfg.Self.Revision++
 	c.askAt = now.Add(c.interval())
-	return c.requests()
+	return c.requests(now)
 }
 
 // requests asks all control processes.
-func (c *Client) requests() []Request {
+func (c *Client) requests(now time.Time) []Request {
 	requests := make([]Request, 0, len(c.controls))
 	for _, k := range c.controls {
-		requests = append(requests, c.request(k))
+		requests = append(requests, c.request(now, k))
 	}
 	return requests
 }
@@ -161,12 +170,34 @@
 // Status returns the status that the process announces.
 func (c *Client) Status() view.Status { return c.cfg.Self.Status }
 
-func (c *Client) request(k *control) Request {
+func (c *Client) request(now time.Time, k *control) Request {
 	return Request{To: k.address, Ask: Ask{
-		Self: c.cfg.Self, Epoch: k.epoch, Position: k.position, Version: c.version, Subscribe: c.cfg.Subscribe,
+		Self: c.cfg.Self, Epoch: k.epoch, Position: k.position, Version: c.version, Subscribe: c.subscribes(now, k),
 	}}
 }
 
+// subscribes reports whether the records of others are asked for at a control
+// process. A balancer has a few that it hears from, chosen by rank, so that balancers
+// spread over them; control processes exchange records with all.
+func (c *Client) subscribes(now time.Time, k *control) bool {
+	if !c.cfg.Subscribe || c.cfg.Self.Role != vm.RoleBalancer {
+		return c.cfg.Subscribe
+	}
+	before := 0
+	for _, other := range c.controls {
+		if other != k && now.Sub(other.heardAt) < subscriptionTimeout && c.rank(other) > c.rank(k) {
+			before++
+		}
+	}
+	return before < subscriptions
+}
+
+// rank orders the control processes for this process.
+func (c *Client) rank(k *control) uint64 {
+	self, other := c.cfg.Self.Address.As16(), k.address.As16()
+	return xxhash.Sum64(append(self[:], other[:]...))
+}
+
 // starting reports whether the process lacks what it needs to serve.
 func (c *Client) starting() bool {
 	return !c.synced || (c.cfg.Subscribe && c.cfg.Self.Role == vm.RoleBalancer && c.version == 0)
@@ -196,11 +227,11 @@
 	})
 	if c.starting() || c.unanswered() {
 		c.asked = nil
-		return c.requests()
+		return c.requests(now)
 	}
 	c.next = (c.next + 1) % len(c.controls)
 	c.asked, c.askedAt = c.controls[c.next], now
-	return []Request{c.request(c.asked)}
+	return []Request{c.request(now, c.asked)}
 }
 
 // Deadline returns when Tick has something to do next.
@@ -258,11 +289,11 @@
 	if k.epoch != 0 && k.epoch != a.Epoch {
 		// Others may have started again as well, and none of them knows this
 		// process.
-		news.Requests = c.requests()
+		news.Requests = c.requests(now)
 	}
 	for _, address := range a.Controls {
 		if c.known(address) == nil && len(c.controls) < maxControls {
-			news.Requests = append(news.Requests, c.request(c.learn(now, address)))
+			news.Requests = append(news.Requests, c.request(now, c.learn(now, address)))
 		}
 	}
 	if a.Leader.IsValid() {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -192,6 +192,79 @@
 	require.Equal(t, address(7), news.Requests[0].To)
 }
 
+// Guards against a balancer that gets each change from every control process: at 300
+// VMs that took more of the links between zones than all packets of callers.
+func TestBalancerSubscribesToFew(t *testing.T) {
+	var addresses []netip.Addr
+	for i := range 8 {
+		addresses = append(addresses, address(i+1))
+	}
+	c := newClient(vm.RoleBalancer, 20, addresses...)
+	c.SetVersion(1)
+	silent := netip.Addr{}
+	// at holds where the last question to each asked for records.
+	at := map[netip.Addr]bool{}
+	subscribed := func(now time.Time) []netip.Addr {
+		for end := now.Add(4 * time.Second); now.Before(end); now = c.Deadline() {
+			for _, r := range c.Tick(now) {
+				at[r.To] = r.Ask.Subscribe
+				if r.To != silent {
+					c.Answer(now, r.To, &directory.Answer{Epoch: 7})
+				}
+			}
+			for _, a := range addresses {
+				if at[a] && a != silent {
+					c.Answer(now, a, &directory.Answer{Epoch: 7})
+				}
+			}
+		}
+		var list []netip.Addr
+		for a, is := range at {
+			if is && a != silent {
+				list = append(list, a)
+			}
+		}
+		return list
+	}
+	first := subscribed(start)
+	require.Len(t, first, 3)
+	silent = first[0]
+	subscribed(start.Add(4 * time.Second))
+	second := subscribed(start.Add(8 * time.Second))
+	require.Len(t, second, 3, "another one takes the place of the silent one")
+	require.NotContains(t, second, silent)
+}
+
+// Guards against a datagram for each balancer and process when many processes start
+// at once, and against changes that wait.
+func TestChangesGoTogether(t *testing.T) {
+	s := newServer(1)
+	s.Ask(start, &directory.Ask{Self: record(vm.RoleBalancer, 2, 1, 1, view.Ready), Subscribe: true})
+	pushed, records := 0, 0
+	count := func(sends []directory.Send) {
+		for _, send := range sends {
+			if send.To == address(2) {
+				pushed++
+				records += len(send.Answer.Records)
+			}
+		}
+	}
+	now := start.Add(time.Second)
+	for i := range 60 {
+		now = now.Add(time.Millisecond)
+		if !now.Before(s.Deadline()) {
+			count(s.Tick(now))
+		}
+		count(s.Ask(now, &directory.Ask{Self: record(vm.RoleUpstream, 100+i, 1, 1, view.Ready)}))
+	}
+	require.LessOrEqual(t, s.Deadline().Sub(now), 20*time.Millisecond)
+	count(s.Tick(s.Deadline()))
+	require.GreaterOrEqual(t, records, 60)
+	require.LessOrEqual(t, pushed, 15, "four pushes in 60 ms, of up to three datagrams each")
+	count(s.Ask(now.Add(time.Second), &directory.Ask{Self: record(vm.RoleUpstream, 200, 1, 1, view.Ready)}))
+	require.LessOrEqual(t, pushed, 16, "a single change goes at once")
+}
+
 // Guards against a process whose clock went back: its announcements would lose
 // against those of its predecessor.
 func TestClockBehind(t *testing.T) {
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -15,6 +15,9 @@
 	maxAnswerRecords = 10
 	// subscriberLifetime is how long a process that has not asked gets changes.
 	subscriberLifetime = 5 * time.Second
+	// pushInterval is the least time between two pushes of changes: when many
+	// processes start at once, their records go together, ten in a datagram.
+	pushInterval = 20 * time.Millisecond
 	// expireInterval is how often silent processes are looked for.
 	expireInterval = time.Second
 )
@@ -35,7 +38,9 @@
 	table       *Table
 	subscribers map[netip.Addr]*subscriber
 	expireAt    time.Time
-	complete    bool
+	// pushedAt is when changes were pushed last, pushAt when the next push is due.
+	pushedAt, pushAt time.Time
+	complete         bool
 	// Version and Leader are told in each answer.
 	Version uint64
 	Leader  netip.Addr
@@ -95,7 +100,7 @@
 		sub.position = s.table.position
 	}
 	if changed {
-		sends = append(sends, s.Changes(now)...)
+		sends = append(sends, s.push(now)...)
 	}
 	if completed {
 		sends = append(sends, s.Notices(now)...)
@@ -116,7 +121,7 @@
 	}
 	var sends []Send
 	if changed {
-		sends = s.Changes(now)
+		sends = s.push(now)
 	}
 	if completed {
 		sends = append(sends, s.Notices(now)...)
@@ -142,8 +147,19 @@
 	return true
 }
 
+// push returns what subscribers do not have yet, or plans it if the last push was a
+// short while ago.
+func (s *Server) push(now time.Time) []Send {
+	if at := s.pushedAt.Add(pushInterval); now.Before(at) {
+		s.pushAt = at
+		return nil
+	}
+	return s.Changes(now)
+}
+
 // Changes returns what subscribers do not have yet.
 func (s *Server) Changes(now time.Time) []Send {
+	s.pushAt = time.Time{}
 	var sends []Send
 	for address, sub := range s.subscribers {
 		if now.Sub(sub.heardAt) > subscriberLifetime {
@@ -155,6 +171,9 @@
 			sub.position = s.table.position
 		}
 	}
+	if len(sends) > 0 {
+		s.pushedAt = now
+	}
 	return sends
 }
 
@@ -181,6 +200,8 @@
 		s.table.Put(now, &s.cfg.Self)
 		s.table.Expire(now)
 		sends = s.Changes(now)
+	} else if !s.pushAt.IsZero() && !now.Before(s.pushAt) {
+		sends = s.Changes(now)
 	}
 	if completed {
 		sends = append(sends, s.Notices(now)...)
@@ -190,10 +211,14 @@
 
 // Deadline returns when Tick has something to do next.
 func (s *Server) Deadline() time.Time {
-	if at := s.completeAt().Add(time.Millisecond); !s.complete && at.Before(s.expireAt) {
-		return at
+	next := s.expireAt
+	if at := s.completeAt().Add(time.Millisecond); !s.complete && at.Before(next) {
+		next = at
+	}
+	if !s.pushAt.IsZero() && s.pushAt.Before(next) {
+		next = s.pushAt
 	}
-	return s.expireAt
+	return next
 }
 
 // answers splits the changes after a position into messages.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -239,8 +238,8 @@
 	return w.upstreams[app]
 }
 
-// crashUpstream ends an upstream without a word and starts another one later.
-func crashUpstream(ctx context.Context, w *world, random *rand.Rand) error {
+// replaceUpstream ends an upstream in some way and starts another one in its place.
+func (w *world) replaceUpstream(random *rand.Rand, end func(u *upstream)) error {
 	agent := w.pick(random, w.agents)
 	if !agent.busy.TryLock() {
 		return nil
@@ -250,31 +249,30 @@
 	if u == nil {
 		return nil
 	}
-	w.note("upstream %s crashes", u.id)
-	u.crash()
-	pause(ctx, time.Duration(random.IntN(2500))*time.Millisecond)
+	end(u)
 	return w.startUpstream(agent, w.newID())
 }
 
-// release drains an upstream and starts another one in its place.
+// crashUpstream ends an upstream without a word; the next one starts later.
+func crashUpstream(ctx context.Context, w *world, random *rand.Rand) error {
+	return w.replaceUpstream(random, func(u *upstream) {
+		w.note("upstream %s crashes", u.id)
+		u.crash()
+		pause(ctx, time.Duration(random.IntN(2500))*time.Millisecond)
+	})
+}
+
+// release drains an upstream before it ends.
 func release(ctx context.Context, w *world, random *rand.Rand) error {
-	agent := w.pick(random, w.agents)
-	if !agent.busy.TryLock() {
-		return nil
-	}
-	defer agent.busy.Unlock()
-	u := w.upstreamAt(agent.settings.App)
-	if u == nil {
-		return nil
-	}
-	w.note("upstream %s leaves", u.id)
-	u.mu.Lock()
-	u.leaving = true
-	u.mu.Unlock()
-	pause(ctx, drainTime+time.Duration(random.IntN(1500))*time.Millisecond)
-	if err := u.call(ctx, http.MethodDelete, nil); err != nil && ctx.Err() == nil {
-		w.note("the end of upstream %s was not acknowledged: %v", u.id, fmt.Errorf("call: %w", err))
-	}
-	u.crash()
-	return w.startUpstream(agent, w.newID())
+	return w.replaceUpstream(random, func(u *upstream) {
+		w.note("upstream %s leaves", u.id)
+		u.mu.Lock()
+		u.leaving = true
+		u.mu.Unlock()
+		pause(ctx, drainTime+time.Duration(random.IntN(1500))*time.Millisecond)
+		if err := u.call(ctx, http.MethodDelete, nil); err != nil && ctx.Err() == nil {
+			w.note("the end of upstream %s was not acknowledged: %v", u.id, err)
+		}
+		u.crash()
+	})
 }
