--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -61,7 +61,7 @@
 	a := &Agent{
 		packetRunner: packetRunner{node: n}, packets: packets, outbound: outbound, outcomes: newOutcomes(env.Registry),
 		core: steering.NewAgent(steering.AgentConfig{
-			Service: cfg.Service, IdleTimeout: agentIdleTimeout, MaxFlows: maxAgentFlows, Started: time.Now(),
+			Service: cfg.Service, CheckInInterval: cfg.CheckInInterval, IdleTimeout: agentIdleTimeout, MaxFlows: maxAgentFlows, Started: time.Now(),
 		}),
 	}
 	n.due = func(now time.Time) {
@@ -111,10 +111,15 @@
 	a.plan(now)
 }
 
-// Announce takes a check-in of the upstream.
-func (a *Agent) Announce(n steering.Announcement) {
+// Announce takes a check-in of the upstream. It reports whether the check-in counts;
+// others must not be acknowledged.
+func (a *Agent) Announce(n steering.Announcement) (taken bool) {
 	now := time.Now()
-	a.publish(now, func(out *[]steering.Action) bool { return a.core.Announce(now, n, out) })
+	a.publish(now, func(out *[]steering.Action) (changed bool) {
+		changed, taken = a.core.Announce(now, n, out)
+		return changed
+	})
+	return taken
 }
 
 // publish announces what a decision has changed about the upstream.
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -46,6 +46,11 @@
 	// an upstream gets its first opening after its check-in and the announcement of
 	// it, some round trips later.
 	bornBefore = 100 * time.Millisecond
+	// successorIntervals is for how many intervals of announcements the current
+	// process must be silent while another one announces itself.
+	successorIntervals = 2
+	// defaultCheckInInterval is the platform's usual value.
+	defaultCheckInInterval = 1200 * time.Millisecond
 	// firstAnnouncements is the highest sequence of an upstream that has just
 	// started: its first calls may get no answer while the agent starts.
 	firstAnnouncements = 3
@@ -58,6 +63,8 @@
 // AgentConfig is what an agent knows from its settings.
 type AgentConfig struct {
 	Service service.Name
+	// CheckInInterval is how often the upstream announces itself.
+	CheckInInterval time.Duration
 	// IdleTimeout is after which time without packets a flow is forgotten.
 	IdleTimeout time.Duration
 	// MaxFlows bounds the remembered flows.
@@ -89,7 +96,8 @@
 	// known is set by the first announcement of this life of the agent.
 	known bool
 	// absent: there was no upstream when this agent looked for it.
-	absent bool
+	absent    bool
+	successor successor
 	// sawStart is set when this agent has seen all packets of the upstream's
 	// incarnation.
 	sawStart    bool
@@ -161,6 +169,9 @@
 
 // NewAgent returns an agent that has not heard from its upstream.
 func NewAgent(cfg AgentConfig) *Agent {
+	if cfg.CheckInInterval == 0 {
+		cfg.CheckInInterval = defaultCheckInInterval
+	}
 	return &Agent{cfg: cfg, tag: ServiceTag(cfg.Service), flows: map[flow.Key]*held{}, doubts: map[flow.Key]doubt{}, denials: map[flow.Key]time.Time{}}
 }
 
@@ -173,19 +184,25 @@
 // Announce takes an announcement of the upstream. It reports whether it changed
 // what others have to know. Announcements of an earlier incarnation, or older
 // ones of the current incarnation, are ignored. Flows of an earlier incarnation
-// are reset: their callers need not find out by themselves.
-func (a *Agent) Announce(now time.Time, n Announcement, out *[]Action) bool {
+// are reset: their callers need not find out by themselves. taken is false for an
+// announcement of a process that may have ended: it must not be acknowledged, since
+// what it says is not heeded.
+func (a *Agent) Announce(now time.Time, n Announcement, out *[]Action) (changed, taken bool) {
 	before := a.upstream
 	if a.known {
-		if n.Incarnation < before.Incarnation || (n.Incarnation == before.Incarnation && n.Sequence <= before.Sequence) {
-			return false
+		if n.Incarnation < before.Incarnation && !a.succeeds(now, &n) {
+			return false, false
+		}
+		if n.Incarnation == before.Incarnation && n.Sequence <= before.Sequence {
+			return false, true
 		}
 		if n.Incarnation == before.Incarnation && before.Status != view.Ready && before.Status != view.Failed && n.Status == view.Ready {
 			// An upstream that is leaving does not come back.
 			n.Status = before.Status
 		}
 	}
-	changed := !a.known || n.Incarnation != before.Incarnation || n.Status != before.Status || n.Slots != before.Slots || n.VM != before.VM
+	a.successor = successor{}
+	changed = !a.known || n.Incarnation != before.Incarnation || n.Status != before.Status || n.Slots != before.Slots || n.VM != before.VM
 	if n.Incarnation != before.Incarnation {
 		a.silentUntil = time.Time{}
 		a.sawStart = a.known || a.absent || a.startedTogether(now, &n)
@@ -199,7 +216,35 @@
 		}
 	}
 	a.upstream, a.known = n, true
-	return changed
+	return changed, true
+}
+
+// successor is a process that announces itself with an earlier start than the
+// current one.
+type successor struct {
+	incarnation vm.Incarnation
+	sequence    uint64
+	since       time.Time
+}
+
+// succeeds reports whether an announcement with an earlier start comes from a later
+// process, whose start was told by a clock that had been set back since. It does if
+// the current process has ended, or if it is silent while the other one goes on for
+// longer than an announcement of the current one can be due. A late announcement of a
+// process that has ended comes without others.
+func (a *Agent) succeeds(now time.Time, n *Announcement) bool {
+	if a.upstream.Status == view.Failed || a.upstream.Status == view.Left {
+		return true
+	}
+	if s := &a.successor; s.incarnation != n.Incarnation {
+		*s = successor{incarnation: n.Incarnation, sequence: n.Sequence, since: now}
+		return false
+	}
+	if n.Sequence <= a.successor.sequence {
+		return false
+	}
+	a.successor.sequence = n.Sequence
+	return now.Sub(a.successor.since) >= successorIntervals*a.cfg.CheckInInterval
 }
 
 // startedTogether reports whether the upstream started when this agent did, so
--- a/internal/steering/agent_end.go
+++ b/internal/steering/agent_end.go
@@ -14,7 +14,7 @@
 	if !a.known || a.upstream.Incarnation != incarnation {
 		return false
 	}
-	a.endFlows(now, incarnation+1, out)
+	a.endFlows(now, 0, out)
 	if a.upstream.Status == view.Failed || a.upstream.Status == view.Left {
 		return false
 	}
@@ -34,12 +34,12 @@
 	return true
 }
 
-// endFlows resets the open flows of incarnations before next. It answers the
+// endFlows resets the open flows of all incarnations but the given one. It answers the
 // pattern in which an upstream crashes under load: its callers would wait for
 // their whole time, and learn of it by nothing else.
-func (a *Agent) endFlows(now time.Time, next vm.Incarnation, out *[]Action) {
+func (a *Agent) endFlows(now time.Time, current vm.Incarnation, out *[]Action) {
 	for key, f := range a.flows {
-		if f.incarnation >= next || f.gone {
+		if f.incarnation == current || f.gone {
 			continue
 		}
 		if !f.open {
--- a/internal/steering/agent_test.go
+++ b/internal/steering/agent_test.go
@@ -65,7 +65,7 @@
 
 func newAgentRun(t *testing.T) *agentRun {
 	return &agentRun{t: t, now: start, Agent: steering.NewAgent(steering.AgentConfig{
-		Service: orders, IdleTimeout: 20 * time.Second, MaxFlows: 100, Started: start,
+		Service: orders, CheckInInterval: time.Second, IdleTimeout: 20 * time.Second, MaxFlows: 100, Started: start,
 	})}
 }
 
@@ -76,7 +76,8 @@
 }
 
 func (a *agentRun) announce(n steering.Announcement) bool {
-	return a.Announce(a.now, n, &a.actions)
+	changed, _ := a.Announce(a.now, n, &a.actions)
+	return changed
 }
 
 func (a *agentRun) take() []steering.Action {
@@ -422,6 +423,42 @@
 	require.EqualValues(t, 6, current.Incarnation)
 }
 
+// Guards against an upstream that is ignored for its whole life, its leaving
+// included, because the clock of its VM was ahead when the process before it started;
+// and against late announcements of that process.
+func TestStartToldByAClockThatWasSetBack(t *testing.T) {
+	taken := func(a *agentRun, n steering.Announcement) bool {
+		_, taken := a.Announce(a.now, n, &a.actions)
+		a.now = a.now.Add(time.Second)
+		return taken
+	}
+	t.Run("the process before is silent", func(t *testing.T) {
+		a := newAgentRun(t)
+		require.True(t, taken(a, announcement(900, 3, view.Ready)))
+		a.open(1)
+		require.False(t, taken(a, announcement(5, 1, view.Ready)))
+		require.False(t, taken(a, announcement(5, 2, view.Ready)))
+		require.False(t, taken(a, announcement(5, 2, view.Leaving)), "the same one again")
+		require.True(t, taken(a, announcement(5, 3, view.Leaving)))
+		require.Equal(t, steering.UpstreamLost, a.take()[0].Reason, "the flow of the process before")
+		require.Equal(t, steering.Leaving, a.caller(syn(2), own)[0].Message.Verdict)
+	})
+	t.Run("the process before goes on", func(t *testing.T) {
+		a := newAgentRun(t)
+		for sequence := uint64(1); sequence < 9; sequence++ {
+			require.True(t, taken(a, announcement(900, sequence, view.Ready)))
+			require.False(t, taken(a, announcement(5, sequence, view.Leaving)), "late ones of an earlier process")
+		}
+	})
+	t.Run("the process before has ended", func(t *testing.T) {
+		a := newAgentRun(t)
+		require.True(t, taken(a, announcement(900, 3, view.Ready)))
+		require.True(t, a.Ended(a.now, 900, &a.actions))
+		require.True(t, taken(a, announcement(5, 1, view.Ready)))
+		require.Equal(t, steering.Deliver, a.caller(syn(2), own)[0].Kind)
+	})
+}
+
 // Guards against a SYN copy that opens a second flow, and against flows that are
 // never forgotten.
 func TestCopiesAndExpiry(t *testing.T) {
