--- a/internal/steering/agent_expiry.go
+++ b/internal/steering/agent_expiry.go
@@ -25,15 +25,21 @@
 		return
 	}
 	a.silentUntil = now.Add(silencePause)
-	if now.Sub(a.probedAt) >= silencePause {
-		a.probedAt = now
-		*out = append(*out, Action{Kind: Probe, Reason: UpstreamLost, Flow: u.key, Incarnation: a.upstream.Incarnation})
-	}
+	a.lookFor(now, u.key, out)
 	origin := f.origin
 	a.forget(u.key, f)
 	a.tell(origin, Message{Kind: Rejected, Verdict: Silent, Flow: u.key, Sequence: u.opening}, UpstreamLost, out)
 }
 
+// lookFor asks whether the process of the upstream exists, at most once in a
+// silencePause: it has not answered an opening, or its VM has returned one.
+func (a *Agent) lookFor(now time.Time, key flow.Key, out *[]Action) {
+	if now.Sub(a.probedAt) >= silencePause {
+		a.probedAt = now
+		*out = append(*out, Action{Kind: Probe, Reason: UpstreamLost, Flow: key, Incarnation: a.upstream.Incarnation})
+	}
+}
+
 // Deadline returns when Tick has something to do next; zero if never.
 func (a *Agent) Deadline() time.Time {
 	next := a.sweepAt
--- a/internal/steering/agent_upstream.go
+++ b/internal/steering/agent_upstream.go
@@ -68,11 +68,12 @@
 		origin := f.origin
 		a.forget(p.Flow, f)
 		a.reject(p, origin, Refused, out)
+		a.lookFor(now, p.Flow, out)
 		return
 	}
 	if f != nil {
 		a.setStage(f, quiet)
-		if f.incarnation < a.upstream.Incarnation {
+		if f.incarnation != a.upstream.Incarnation {
 			// The process that held the flow has ended.
 			*out = append(*out, Action{Kind: Reset, Reason: UpstreamLost, Flow: p.Flow, Sequence: p.Ack})
 			a.forget(p.Flow, f)
--- a/internal/steering/balancer_test.go
+++ b/internal/steering/balancer_test.go
@@ -152,6 +152,17 @@
 	require.Equal(t, steering.Forward, b.packet(syn(3))[0].Kind)
 }
 
+// Guards against openings that visit a crashed upstream, whose VM returns them, before
+// each other one: under load they run out of tries.
+func TestUpstreamThatReturnsOpeningsIsAvoided(t *testing.T) {
+	b := newBalancerRun(t, upstream(1, orders, near, view.Ready), upstream(2, orders, far, view.Ready))
+	require.Equal(t, agentAddress(1), b.packet(syn(1))[0].To)
+	require.Equal(t, agentAddress(2), b.tell(1, steering.Message{Kind: steering.Rejected, Verdict: steering.Refused, Sequence: 100})[0].To)
+	require.Equal(t, agentAddress(2), b.packet(syn(2))[0].To)
+	b.now = b.now.Add(time.Second)
+	require.Equal(t, agentAddress(1), b.packet(syn(3))[0].To)
+}
+
 // Guards against an agent that does not answer: its openings must go elsewhere
 // before the caller's next copy, and the next ones must not go there.
 func TestSilentAgentIsAvoided(t *testing.T) {
--- a/internal/steering/placement.go
+++ b/internal/steering/placement.go
@@ -329,7 +329,7 @@
 
 func (b *Balancer) rejected(now time.Time, e *entry, t *target, m *Message, out *[]Action) {
 	switch m.Verdict {
-	case Leaving, Foreign, Unready, Silent:
+	case Leaving, Foreign, Unready, Silent, Refused:
 		t.avoidUntil = now.Add(avoidTime)
 	case Overloaded:
 		t.fullUntil = now.Add(fullTime)
