--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramleyhold.example/bramleyhold/internal/flow"
+	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/view"
 )
 
@@ -22,6 +23,12 @@
 	// the flow.
 	silent []*target
 	unsure []*target
+	// later are unsure agents that are tried after the others, untold those that
+	// were tried and have not said whether they hold the flow.
+	later  []*target
+	untold []*target
+	// sample is the packet that waits with which agents are tried.
+	sample int
 }
 
 // locate searches for the holder of a flow. Packets wait for it.
@@ -43,8 +50,8 @@
 // settle sends what has waited to the holder.
 func (b *Balancer) settle(now time.Time, e *entry, t *target, reason Reason, out *[]Action) {
 	if e.state == trying && len(e.held) > 0 {
-		// The holder has had the first one.
-		e.held = e.held[1:]
+		// The holder has had this one.
+		e.held = slices.Delete(e.held, e.search.sample, e.search.sample+1)
 	}
 	e.state, e.target, e.search = settled, t, nil
 	e.deadline, e.denied, e.missedAt, e.misses = time.Time{}, false, time.Time{}, 0
@@ -63,24 +70,68 @@
 	e.held = nil
 }
 
-// searchEnded tries the agents that are unsure: each gets the first packet that
-// waits, and its upstream returns it unless it holds the flow. While another agent
-// is awaited, it may be the holder, and nobody is tried in the first search.
-// Without agents to try notHeld decides.
+// searchEnded tries the agents that are unsure: each gets a packet that waits, and its
+// upstream returns it unless it holds the flow. While another agent is awaited, it may
+// be the holder, and nobody is tried in the first search. Without agents to try notHeld
+// decides.
 func (b *Balancer) searchEnded(now time.Time, e *entry, awaited bool, out *[]Action) {
 	if len(e.search.unsure) == 0 || len(e.held) == 0 || (e.misses == 0 && awaited) {
 		b.notHeld(now, e, out)
 		return
 	}
+	for i, data := range e.held {
+		if len(data) < len(e.held[e.search.sample]) {
+			e.search.sample = i
+		}
+	}
+	b.likelyFirst(e)
+	b.try(now, e, out)
+}
+
+// likelyFirst puts off the agents that hold the flow only if it crossed zones or was
+// opened before its route changed. It answers the pattern in which all processes start
+// again while the upstreams live: every agent is unsure about every flow, and to try 50
+// of them for each takes more of a slow link than the packets of callers.
+func (b *Balancer) likelyFirst(e *entry) {
+	route := b.routes[e.key.Virtual]
+	if route == nil {
+		return
+	}
+	var likely, later []*target
+	for _, t := range e.search.unsure {
+		routed := slices.ContainsFunc(route.Split, func(s intent.Share) bool { return s.Service == t.Service && s.Weight > 0 })
+		if routed && t.Zone == b.cfg.Zone {
+			likely = append(likely, t)
+		} else {
+			later = append(later, t)
+		}
+	}
+	if len(likely) > 0 {
+		e.search.unsure, e.search.later = likely, later
+	}
+}
+
+// try sends a packet to the agents that are unsure.
+func (b *Balancer) try(now time.Time, e *entry, out *[]Action) {
 	e.state = trying
 	b.plan(e, now.Add(trialTimeout))
 	for _, t := range e.search.unsure {
 		*out = append(*out, Action{
-			Kind: Forward, Reason: Tried, Flow: e.key, To: t.Address.Addr(), Data: e.held[0], Mark: Mark{Service: t.tag},
+			Kind: Forward, Reason: Tried, Flow: e.key, To: t.Address.Addr(), Data: e.held[e.search.sample], Mark: Mark{Service: t.tag},
 		})
 	}
 }
 
+// tryLater goes on with the agents that were put off. It reports whether there are any.
+func (b *Balancer) tryLater(now time.Time, e *entry, out *[]Action) bool {
+	if len(e.search.later) == 0 {
+		return false
+	}
+	e.search.unsure, e.search.later = e.search.later, nil
+	b.try(now, e, out)
+	return true
+}
+
 // holding settles a flow on an agent whose upstream has sent a packet of it, or
 // that has said so: the holder knows best, also late.
 func (b *Balancer) holding(now time.Time, e *entry, t *target, out *[]Action) {
@@ -102,14 +153,19 @@
 	return awaited
 }
 
-// trialEnded settles on the agent that has not denied the flow, if all others
-// have.
+// trialEnded goes on with the agents that were put off, and in the end settles on the
+// agent that has not denied the flow, if all others have.
 func (b *Balancer) trialEnded(now time.Time, e *entry, out *[]Action) {
-	if len(e.search.unsure) != 1 || awaited(e.search.silent) {
+	e.search.untold = append(e.search.untold, e.search.unsure...)
+	e.search.unsure = nil
+	if b.tryLater(now, e, out) {
+		return
+	}
+	if len(e.search.untold) != 1 || awaited(e.search.silent) {
 		b.notHeld(now, e, out)
 		return
 	}
-	b.settle(now, e, e.search.unsure[0], Found, out)
+	b.settle(now, e, e.search.untold[0], Found, out)
 }
 
 // notHeld ends a search without a holder. The caller is told only after a second
@@ -124,7 +180,7 @@
 	case AgentSilent:
 		suspect = e.search.silent[0].Address.Addr()
 	case AgentUnsure:
-		suspect = e.search.unsure[0].Address.Addr()
+		suspect = slices.Concat(e.search.unsure, e.search.untold)[0].Address.Addr()
 	}
 	e.search, e.target = nil, nil
 	if certain && e.denied {
@@ -153,7 +209,7 @@
 		return DirectoryIncomplete
 	case awaited(e.search.silent):
 		return AgentSilent
-	case len(e.search.unsure) > 0:
+	case len(e.search.unsure)+len(e.search.untold) > 0:
 		return AgentUnsure
 	}
 	return ""
@@ -173,9 +229,11 @@
 func (b *Balancer) notFound(now time.Time, e *entry, t *target, m *Message, out *[]Action) {
 	switch e.state {
 	case trying:
-		e.search.unsure = slices.DeleteFunc(e.search.unsure, func(other *target) bool { return other == t })
-		if len(e.search.unsure) == 0 {
-			b.notHeld(now, e, out)
+		denied := func(other *target) bool { return other == t }
+		e.search.unsure = slices.DeleteFunc(e.search.unsure, denied)
+		e.search.untold = slices.DeleteFunc(e.search.untold, denied)
+		if len(e.search.unsure) == 0 && !b.tryLater(now, e, out) {
+			b.trialEnded(now, e, out)
 		}
 	case settled:
 		if e.target == t {
