--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -263,6 +263,10 @@
 	}
 	f := a.flows[p.Flow]
 	if f != nil && f.gone && !p.Opens() {
+		if !f.near(p.Ack) {
+			a.tell(origin, Message{Kind: NotFound, Flow: p.Flow, Ack: p.Ack}, NotHeld, out)
+			return
+		}
 		a.resetGone(p, f, out)
 		return
 	}
@@ -413,6 +417,11 @@
 func (a *Agent) verdict(now time.Time, from netip.Addr, q *Question) Verdict {
 	f := a.flows[q.Flow]
 	switch {
+	case f != nil && f.gone:
+		// Its packets are answered by a reset here.
+		if f.near(q.Ack) {
+			return Holds
+		}
 	case f != nil && !f.lost && (f.open || (f.answered && q.Ack-f.answer <= ackWindow)):
 		f.origin = from
 		return Holds
--- a/internal/steering/agent_end.go
+++ b/internal/steering/agent_end.go
@@ -58,6 +58,12 @@
 	}
 }
 
+// near reports whether an acknowledgement belongs to this flow. The caller may have
+// used its port again for a flow at another upstream, which must not be reset.
+func (f *held) near(ack uint32) bool {
+	return ack-f.ack <= ackWindow || f.ack-ack <= ackWindow
+}
+
 // resetGone tells a caller that the process that held its flow has ended.
 func (a *Agent) resetGone(p *Packet, f *held, out *[]Action) {
 	f.finished = true
--- a/internal/steering/agent_test.go
+++ b/internal/steering/agent_test.go
@@ -281,6 +281,12 @@
 			require.Equal(t, steering.Action{Kind: steering.Reset, Reason: steering.UpstreamLost, Flow: flowOf(1), Sequence: answerSeq + 1}, actions[0])
 			require.Equal(t, steering.Reset, a.caller(fromCaller(1, 10), own)[0].Kind, "a packet that crossed the reset")
 			require.Equal(t, steering.HoldsNot, a.locate(5, answerSeq+1))
+			const elsewhere = answerSeq + 1<<30
+			require.Equal(t, steering.Holds, a.locate(1, answerSeq+1))
+			require.Equal(t, steering.HoldsNot, a.locate(1, elsewhere), "the port was used again at another upstream")
+			again := fromCaller(1, 10)
+			again.Ack = elsewhere
+			require.Equal(t, steering.NotFound, a.caller(again, own)[0].Message.Kind)
 			busy, _ := a.Load()
 			require.Zero(t, busy)
 		})
