--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -47,6 +48,39 @@
 	}
 }
 
+// Guards against a soak that stops because a reset and an opening are checked at the
+// same time.
+func TestChecksDoNotBlockEachOther(t *testing.T) {
+	w := newWorld(Options{}, t.TempDir())
+	w.routes[virtuals[0]] = map[string]bool{"orders": true}
+	key := conversation{netip.MustParseAddrPort("127.80.0.201:1024"), virtuals[0]}
+	agent := &process{settings: ends.Settings{Address: netip.MustParseAddr("127.80.0.101")}}
+	u := &upstream{world: w, agent: agent, id: "i-1", service: "orders", flows: map[conversation]*held{}}
+	w.upstreams[netip.MustParseAddrPort("127.80.0.101:18504")] = u
+	var done sync.WaitGroup
+	for _, check := range []func(){
+		func() { w.reset(key) },
+		func() {
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			u.opening(&ends.Packet{To: virtuals[0]})
+		},
+	} {
+		done.Go(func() {
+			for range 20_000 {
+				check()
+			}
+		})
+	}
+	finished := make(chan struct{})
+	go func() { done.Wait(); close(finished) }()
+	select {
+	case <-finished:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the checks wait for each other")
+	}
+}
+
 // Guards against a list of regressions that cannot be played.
 func TestRegressionsAreReadable(t *testing.T) {
 	_, err := regressions()
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -170,18 +172,19 @@
 	for _, p := range w.all {
 		p.kill()
 	}
-	w.mu.Lock()
-	list := make([]*upstream, 0, len(w.upstreams))
-	for _, u := range w.upstreams {
-		list = append(list, u)
-	}
-	w.mu.Unlock()
-	for _, u := range list {
+	for _, u := range w.running() {
 		u.crash()
 	}
 	w.relay.close()
 }
 
+// running returns the upstreams that run.
+func (w *world) running() []*upstream {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Collect(maps.Values(w.upstreams))
+}
+
 // note adds a line to the timeline.
 func (w *world) note(format string, args ...any) {
 	w.mu.Lock()
@@ -229,14 +232,15 @@
 
 // reset checks a reset of an open flow that its upstream did not send.
 func (w *world) reset(key conversation) {
-	w.mu.Lock()
+	// Upstreams take the lock of the world while they hold their own.
 	var holder *upstream
-	for _, u := range w.upstreams {
+	for _, u := range w.running() {
 		if u.holds(key) {
 			holder = u
 		}
 	}
 	excused := false
+	w.mu.Lock()
 	for vm, until := range w.unplannedAt {
 		relevant := holder != nil && (vm == holder.agent.address() || vm.As4()[3] < firstAgent)
 		excused = excused || (relevant && time.Since(until) < contactTime)
