platform, intent: requests of the kind download; unknown words no longer stop a deployment

Cause: the route type `download` was unknown, so every desired state of the further sites was refused with 400 and nothing was served. One unknown word stopped a deployment.

Change: intent.Download, an idempotent kind with a long answer. A type that is not known is accepted, handled as non-idempotent and reported to the operator and in the log.

--- a/cmd/platform-control/main.go
+++ b/cmd/platform-control/main.go
@@ -18,6 +18,6 @@
 	if err != nil {
 		return nil, err
 	}
-	platform.ServeInBackground(ctx, p, p.Config.ControlAddress, platform.OperatorHandler(control, p.Config.ControlAddress.Port()))
+	platform.ServeInBackground(ctx, p, p.Config.ControlAddress, platform.OperatorHandler(control, p.Config.ControlAddress.Port(), p.Dependencies.Log))
 	return control, nil
 }
--- a/internal/intent/desired.go
+++ b/internal/intent/desired.go
@@ -21,6 +21,10 @@
 	NonIdempotent RequestKind = "run_once"
 	// Upload requests must run at most once and have long bodies.
 	Upload RequestKind = "upload"
+	// Download requests may run more than once and have long answers. The answers do
+	// not pass through balancers, so the links of balancers carry only small packets
+	// of downloads.
+	Download RequestKind = "download"
 )
 
 // WeightedService is a service with its weight among the backends of a route.
