steering: packets wait in the balancer for a thin link; uploads admitted by expected time

Packet logs of one upload (trial): its window of 16 packets arrived within 2 ms, nine of them left, at 5.2 ms each, the other seven were dropped by the link of the VM, with the packets of all other flows of that time. Each loss delays its sender by 200 ms, then 400, 800, 1600. Refusing uploads above half of the link in 200 ms could not prevent it: one window is enough. Ruled out: processor time, placement, the upstreams.

Change: steering/egress.go holds packets until the link has room, small ones first, uploads in the order of their opening; copies of held packets are dropped. steering/upload_admission.go admits uploads by the time that those in progress are expected to take. The link meter goes.

TestUploadsAreRefusedOnFullLink is rewritten, since it drove the link by the use that the old meter counted: it now demands the number of uploads admitted in a row, which the old one did not, and as before that others are not refused and that uploads are admitted again.

--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -48,6 +48,10 @@
 	finishedFlowLifetime = 5 * time.Second
 )
 
+// minBulkPacketBytes is the size from which a packet of an upload is bulk data. Smaller
+// ones acknowledge or end the flow.
+const minBulkPacketBytes = 128
+
 // BalancerConfig holds the settings of a balancer.
 type BalancerConfig struct {
 	Zone zone.ID
@@ -150,7 +154,8 @@
 	// is obsolete if the deadline of its flow has changed.
 	timers    []flowTimer
 	nextSweep time.Time
-	link      linkMeter
+	egress    egressScheduler
+	uploads   uploadAdmission
 	// lookupQueue lists the flows whose lookup has not started. lookupBatches has the
 	// lookup requests that await responses or have ended a short while ago, keyed by
 	// lookup ID. lookupLimiter bounds the bytes that lookups use on the link.
@@ -173,7 +178,7 @@
 // NewBalancer returns a balancer without routes and upstreams.
 func NewBalancer(cfg BalancerConfig) *Balancer {
 	return &Balancer{
-		cfg: cfg, link: newLinkMeter(cfg.LinkBitsPerSecond), lookupLimiter: rate.NewLimiter(0, 0), lookupBatches: map[uint32]*lookupBatch{}, routes: map[netip.AddrPort]*intent.Route{}, removedRoutes: map[netip.AddrPort]bool{},
+		cfg: cfg, egress: newEgressScheduler(cfg.LinkBitsPerSecond), uploads: newUploadAdmission(), lookupLimiter: rate.NewLimiter(0, 0), lookupBatches: map[uint32]*lookupBatch{}, routes: map[netip.AddrPort]*intent.Route{}, removedRoutes: map[netip.AddrPort]bool{},
 		upstreams: map[netip.Addr]*upstreamState{}, serviceMembers: map[service.Name][]*upstreamState{}, flows: map[flow.Key]*flowEntry{},
 	}
 }
@@ -221,7 +226,26 @@
 
 // HandlePacket handles a packet of a caller.
 func (b *Balancer) HandlePacket(now time.Time, packet *Packet, data []byte, actions *[]Action) {
-	b.link.countPacket(now, len(data))
+	first := len(*actions)
+	b.steerPacket(now, packet, data, actions)
+	b.scheduleEgress(now, first, actions)
+}
+
+// scheduleEgress holds the actions from index first on that the link has no room for,
+// and counts the packets of uploads.
+func (b *Balancer) scheduleEgress(now time.Time, first int, actions *[]Action) {
+	b.egress.schedule(now, first, actions, func(action *Action) egressClass {
+		route, entry := b.routes[action.Flow.Virtual], b.flows[action.Flow]
+		if action.Kind != Forward || len(action.Data) < minBulkPacketBytes || entry == nil || route == nil || route.Kind != intent.Upload {
+			return egressClass{}
+		}
+		b.uploads.countPacket(now, action.Flow, linkBytes(action))
+		return egressClass{bulk: true, openedAt: entry.createdAt}
+	})
+}
+
+// steerPacket decides where a packet of a caller goes.
+func (b *Balancer) steerPacket(now time.Time, packet *Packet, data []byte, actions *[]Action) {
 	route := b.routes[packet.Flow.Virtual]
 	if packet.IsOpening() {
 		b.handleOpening(now, route, packet, data, actions)
@@ -248,6 +272,7 @@
 	}
 	if packet.Flags&(FIN|RST) != 0 {
 		entry.finished = true
+		b.uploads.end(entry.key)
 	}
 	switch entry.state {
 	case stateOpeningUnconfirmed:
@@ -340,6 +365,12 @@
 
 // HandleMessage handles a message of the agent at address from.
 func (b *Balancer) HandleMessage(now time.Time, from netip.Addr, message *Message, actions *[]Action) {
+	first := len(*actions)
+	b.dispatchMessage(now, from, message, actions)
+	b.scheduleEgress(now, first, actions)
+}
+
+func (b *Balancer) dispatchMessage(now time.Time, from netip.Addr, message *Message, actions *[]Action) {
 	upstream := b.upstreams[from]
 	if upstream == nil {
 		return
@@ -366,8 +397,9 @@
 	}
 }
 
-// Tick handles expired timers and advances lookups.
+// Tick handles expired timers, advances lookups and sends held packets.
 func (b *Balancer) Tick(now time.Time, actions *[]Action) {
+	first := len(*actions)
 	for {
 		index := b.earliestTimer()
 		if index < 0 || now.Before(b.timers[index].expiresAt) {
@@ -379,6 +411,7 @@
 		b.handleTimeout(now, entry, actions)
 	}
 	b.advanceBatches(now, actions)
+	b.scheduleEgress(now, first, actions)
 	if !b.nextSweep.IsZero() && !now.Before(b.nextSweep) {
 		b.evictExpired(now)
 	}
@@ -407,8 +440,10 @@
 	if index := b.earliestTimer(); index >= 0 && (next.IsZero() || b.timers[index].expiresAt.Before(next)) {
 		next = b.timers[index].expiresAt
 	}
-	if at := b.batchesDeadline(); !at.IsZero() && (next.IsZero() || at.Before(next)) {
-		next = at
+	for _, at := range [...]time.Time{b.batchesDeadline(), b.egress.deadline()} {
+		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
 	}
 	return next
 }
--- a/internal/steering/placement.go
+++ b/internal/steering/placement.go
@@ -152,9 +152,12 @@
 		b.sendReset(packet, NoRoute, actions)
 		return
 	}
-	if route.Kind == intent.Upload && b.link.uploadsBlocked(now) {
-		b.sendReset(packet, LinkSaturated, actions)
-		return
+	if route.Kind == intent.Upload {
+		if !b.uploads.admits(now, &b.egress, route.Objective-openingAge(packet)) {
+			b.sendReset(packet, LinkSaturated, actions)
+			return
+		}
+		b.uploads.countOpening(now, packet.Flow)
 	}
 	entry = b.addFlow(now, packet.Flow)
 	entry.openingSequence, entry.openingPacket = packet.Sequence, slices.Clone(data)
@@ -320,6 +323,8 @@
 // desired state or of the upstreams. directoryCompleted is set if the directory has
 // just become complete. In that case the lookups that found no holder are repeated.
 func (b *Balancer) RetryPending(now time.Time, directoryCompleted bool, actions *[]Action) {
+	first := len(*actions)
+	defer func() { b.scheduleEgress(now, first, actions) }()
 	for _, entry := range b.flows {
 		if entry.state == stateOpeningQueued {
 			b.retryQueuedOpening(now, entry, actions)
@@ -334,6 +339,7 @@
 // run.
 func (b *Balancer) refuseOpening(entry *flowEntry, reason Reason, actions *[]Action) {
 	delete(b.flows, entry.key)
+	b.uploads.end(entry.key)
 	*actions = append(*actions, Action{Kind: Reset, Reason: reason, Flow: entry.key})
 }
 
