steering: holder lookups ask the agents of the service in the own zone first

All requests still late or failed had moved to balancers that had just joined or restarted; their agents were asked for the holder 3 to 5 s after the packets arrived. A lookup request to 144 agents takes 20 KB for one flow, 155 KB for 40, and lookups may use 50 KB/s of a link of 2 Mbit/s.

The first lookup of a flow goes to the agents of its service in the zone of the balancer, one without a holder to all agents. Only answers of all agents count for a reset. Lookup requests wait for the link like packets: those to 140 agents exceed what it queues.

--- a/internal/steering/holder_lookup.go
+++ b/internal/steering/holder_lookup.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"bramleyhold.example/bramleyhold/internal/flow"
-	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/view"
 )
 
@@ -17,6 +16,7 @@
 
 // holderLookup is the state of the lookup of one flow.
 type holderLookup struct {
+	scope lookupScope
 	// batchID is the lookup ID of the batch that has the flow.
 	batchID uint32
 	// notResponding lists the agents that have not responded to the lookup requests.
@@ -110,10 +110,7 @@
 	}
 	var likely, deferred []*upstreamState
 	for _, upstream := range entry.lookup.currentCandidates {
-		routedService := slices.ContainsFunc(route.Backends, func(backend intent.WeightedService) bool {
-			return backend.Service == upstream.Service && backend.Weight > 0
-		})
-		if routedService && upstream.Zone == b.cfg.Zone {
+		if routesTo(route, upstream.Service) && upstream.Zone == b.cfg.Zone {
 			likely = append(likely, upstream)
 		} else {
 			deferred = append(deferred, upstream)
@@ -192,7 +189,12 @@
 // directory lists as failed may be missing. The second lookup starts
 // confirmationDelay after the first one. It needs no packet of the caller, which
 // would come only with a retransmission.
+//
+// A narrow lookup without a holder is repeated at all agents first.
 func (b *Balancer) handleNoHolder(now time.Time, entry *flowEntry, actions *[]Action) {
+	if b.widenLookup(entry) {
+		return
+	}
 	uncertainty := b.uncertaintyReason(entry)
 	certain := uncertainty == "" && !entry.resetByCaller
 	var possibleHolder netip.Addr
@@ -255,6 +257,7 @@
 		entry.lookup.timedOutCandidates = slices.DeleteFunc(entry.lookup.timedOutCandidates, isSender)
 		if len(entry.lookup.currentCandidates) == 0 && !b.tryDeferredCandidates(now, entry, actions) {
 			b.finishCandidates(now, entry, actions)
+			b.startBatch(now, actions)
 		}
 	case stateHolderKnown:
 		if entry.upstream == upstream {
--- a/internal/steering/lookup_batch.go
+++ b/internal/steering/lookup_batch.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"golang.org/x/time/rate"
-
-	"bramleyhold.example/bramleyhold/internal/view"
 )
 
 const (
@@ -37,8 +35,8 @@
 	bytesPerLookup   = 24
 )
 
-// lookupBatch is a set of flow lookups that is sent to all agents under one lookup
-// ID. Batches save bytes on a slow link when many flows are looked up at once: sent
+// lookupBatch is a set of flow lookups with the same scope that is sent to all agents
+// of that scope under one lookup ID. Batches save bytes on a slow link when many flows are looked up at once: sent
 // one by one, the lookups of a thousand flows among 60 agents take megabytes.
 type lookupBatch struct {
 	id    uint32
@@ -61,7 +59,7 @@
 		*actions = append(*actions, Action{Kind: Drop, Reason: LookupQueueFull, Flow: entry.key})
 		return
 	}
-	entry.state, entry.upstream, entry.lookup, entry.deadline = stateLookupPending, nil, &holderLookup{}, time.Time{}
+	entry.state, entry.upstream, entry.lookup, entry.deadline = stateLookupPending, nil, &holderLookup{scope: b.initialScope(entry)}, time.Time{}
 	if entry.firstLookupAt.IsZero() {
 		entry.firstLookupAt = now
 	}
@@ -76,19 +74,31 @@
 	if len(b.lookupQueue) == 0 || now.Before(b.nextBatchAt) {
 		return
 	}
-	batch := &lookupBatch{awaitingResponse: b.possibleHolders()}
+	scope := b.lookupQueue[0].lookup.scope
+	batch := &lookupBatch{awaitingResponse: b.possibleHolders(scope)}
 	if len(batch.awaitingResponse) == 0 {
 		b.dropQueuedLookups(actions)
 		return
 	}
-	count := b.lookupsAllowed(now, len(batch.awaitingResponse))
+	queued := 0
+	for _, entry := range b.lookupQueue {
+		if entry.lookup.scope == scope {
+			queued++
+		}
+	}
+	count := b.lookupsAllowed(now, len(batch.awaitingResponse), queued)
 	if count == 0 {
 		// The lookups have used their share of the link.
 		b.nextBatchAt = now.Add(lookupResponseTimeout)
 		return
 	}
-	batch.flows = slices.Clone(b.lookupQueue[:count])
-	b.lookupQueue = slices.Delete(b.lookupQueue, 0, count)
+	b.lookupQueue = slices.DeleteFunc(b.lookupQueue, func(entry *flowEntry) bool {
+		selected := entry.lookup.scope == scope && len(batch.flows) < count
+		if selected {
+			batch.flows = append(batch.flows, entry)
+		}
+		return selected
+	})
 	b.lastLookupID++
 	batch.id = b.lastLookupID
 	for _, entry := range batch.flows {
@@ -99,17 +109,6 @@
 	b.nextBatchAt = batch.nextStepAt
 }
 
-// possibleHolders returns the agents whose upstreams may hold a flow.
-func (b *Balancer) possibleHolders() []*upstreamState {
-	list := make([]*upstreamState, 0, len(b.upstreams))
-	for _, upstream := range b.upstreams {
-		if upstream.Status != view.Left {
-			list = append(list, upstream)
-		}
-	}
-	return list
-}
-
 // dropQueuedLookups removes the flows with queued lookups, because there is no agent
 // to send requests to.
 func (b *Balancer) dropQueuedLookups(actions *[]Action) {
@@ -124,11 +123,11 @@
 // flows and of the responses.
 func lookupBytes(agents, flows int) int { return agents * (bytesPerExchange + flows*bytesPerLookup) }
 
-// lookupsAllowed returns the number of lookups that may be sent now, and takes their
+// lookupsAllowed returns how many of the queued lookups may be sent now, and takes their
 // bytes from lookupLimiter. If the limiter does not allow all that fit into a
 // request, it returns 0 until the full burst is available. Larger batches need fewer
 // bytes for each flow.
-func (b *Balancer) lookupsAllowed(now time.Time, agents int) int {
+func (b *Balancer) lookupsAllowed(now time.Time, agents, queued int) int {
 	bytesPerSecond := float64(maxLookupBytesPerSecond)
 	if link := b.cfg.LinkBitsPerSecond; link > 0 {
 		const bitsPerByte = 8
@@ -142,9 +141,9 @@
 	}
 	b.lookupLimiter.SetBurstAt(now, burst)
 	tokens := int(b.lookupLimiter.TokensAt(now))
-	count := min((tokens/agents-bytesPerExchange)/bytesPerLookup, len(b.lookupQueue), maxLookupsPerRequest)
+	count := min((tokens/agents-bytesPerExchange)/bytesPerLookup, queued, maxLookupsPerRequest)
 	burstAvailable := tokens >= burst-1
-	if count < 1 || (count < min(len(b.lookupQueue), maxLookupsPerRequest) && !burstAvailable) || !b.lookupLimiter.AllowN(now, lookupBytes(agents, count)) {
+	if count < 1 || (count < min(queued, maxLookupsPerRequest) && !burstAvailable) || !b.lookupLimiter.AllowN(now, lookupBytes(agents, count)) {
 		return 0
 	}
 	return count
