directory: ranges joined in any order; thin control processes serve no records

The network reorders the 20 datagrams of a table; the client counted only the next range in order, so one or two of them counted for each request, and the rest was sent again. Five of the ten control processes have links of 2 Mbit/s, which the tables for their subscribers filled; balancers without a response within 500 ms ask all ten.

The message format is unchanged.

--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -85,10 +85,13 @@
 type controlState struct {
 	address netip.Addr
 	// configured is set if the settings list the control process.
-	configured     bool
+	configured bool
+	// received has the positions in the table of the run with this epoch.
 	epoch          uint64
-	position       uint64
+	received       receivedRanges
 	lastResponseAt time.Time
+	// withoutRecords is set if its last response showed that it serves no records.
+	withoutRecords bool
 	// desiredVersion is the version of its desired state. lastFetchAt is when the
 	// client last started to fetch it from there.
 	desiredVersion uint64
@@ -185,7 +188,7 @@
 
 func (c *Client) newSyncRequest(now time.Time, control *controlState) AddressedRequest {
 	return AddressedRequest{To: control.address, SyncRequest: SyncRequest{
-		Self: c.cfg.Self, Epoch: control.epoch, Position: control.position, Version: c.desiredVersion, Subscribe: c.subscribesTo(now, control),
+		Self: c.cfg.Self, Epoch: control.epoch, Position: control.received.position, Version: c.desiredVersion, Subscribe: c.subscribesTo(now, control),
 	}}
 }
 
@@ -199,7 +202,7 @@
 	}
 	rankedBefore := 0
 	for _, other := range c.controls {
-		if other != control && now.Sub(other.lastResponseAt) < subscriptionTimeout && c.rendezvousScore(other) > c.rendezvousScore(control) {
+		if other != control && !other.withoutRecords && now.Sub(other.lastResponseAt) < subscriptionTimeout && c.rendezvousScore(other) > c.rendezvousScore(control) {
 			rankedBefore++
 		}
 	}
@@ -305,7 +308,7 @@
 func (c *Client) HandleSyncResponse(now time.Time, from netip.Addr, response *SyncResponse) SyncResult {
 	result := SyncResult{FirstResponse: !c.connected}
 	control := c.addControl(now, from)
-	control.lastResponseAt = now
+	control.lastResponseAt, control.withoutRecords = now, response.To == noRecordsPosition
 	c.connected = true
 	if control.epoch != 0 && control.epoch != response.Epoch {
 		// The control process has restarted. Others may have restarted as well and have no
@@ -331,8 +334,8 @@
 	return result
 }
 
-// mergeRecords adds all records of a response to the table. The position advances
-// only if the response continues the position reached so far.
+// mergeRecords adds all records of a response to the table, and its range of positions
+// to those received from the control process.
 func (c *Client) mergeRecords(now time.Time, control *controlState, response *SyncResponse) (changed bool) {
 	for i := range response.Records {
 		if response.Records[i].key() == c.cfg.Self.key() {
@@ -343,13 +346,10 @@
 		}
 	}
 	if response.Epoch != control.epoch {
-		control.epoch, control.position = response.Epoch, 0
+		control.epoch, control.received = response.Epoch, receivedRanges{}
 	}
-	if response.From <= control.position && response.To >= control.position {
-		control.position = response.To
-		if response.Complete {
-			c.complete = true
-		}
+	if control.received.add(positionRange{from: response.From, to: response.To, complete: response.Complete}) {
+		c.complete = true
 	}
 	return changed
 }
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -32,6 +32,11 @@
 	Self Record
 	// StartedAt is when the server began to listen.
 	StartedAt time.Time
+	// AlwaysServesRecords is set if the server must serve records whatever its link
+	// carries: it runs a replica, so that its VM was chosen to have the resources.
+	AlwaysServesRecords bool
+	// LinkBytesPerSecond is the rate of the VM's link, or zero if it is unknown.
+	LinkBytesPerSecond float64
 }
 
 // Server handles sync requests for one control process.
@@ -86,6 +91,10 @@
 		from = 0
 	}
 	var responses []AddressedResponse
+	if request.Self.Role == vm.RoleBalancer && !s.servesRecords() {
+		request.Subscribe = false
+		delete(s.subscribers, request.Self.Address)
+	}
 	if request.Subscribe && request.Self.Role == vm.RoleBalancer {
 		subscription := s.subscribers[request.Self.Address]
 		if subscription == nil {
@@ -97,7 +106,11 @@
 	if request.Subscribe {
 		responses = s.responsesSince(request.Self.Role, request.Self.Address, from)
 	} else {
-		responses = append(responses, AddressedResponse{Role: request.Self.Role, To: request.Self.Address, SyncResponse: s.statusResponse(s.table.position, s.table.position)})
+		status := s.statusResponse(s.table.position, s.table.position)
+		if !s.servesRecords() {
+			status.From, status.To, status.Complete = noRecordsPosition, noRecordsPosition, false
+		}
+		responses = append(responses, AddressedResponse{Role: request.Self.Role, To: request.Self.Address, SyncResponse: status})
 	}
 	for i := range responses {
 		responses[i].SyncResponse.ProcessIncarnation = s.table.ProcessIncarnation(&request.Self)
--- a/internal/fabric/control.go
+++ b/internal/fabric/control.go
@@ -67,9 +67,11 @@
 	now := time.Now()
 	self := shared.directoryClient.Self()
 	self.Status = view.Ready
-	c := &Control{node: shared, directoryServer: directory.NewServer(directory.ServerConfig{
-		Epoch: newRandom().Uint64(), Self: self, StartedAt: now,
-	})}
+	c := &Control{node: shared}
+	const bitsPerByte = 8
+	c.directoryServer = directory.NewServer(directory.ServerConfig{
+		Epoch: newRandom().Uint64(), Self: self, StartedAt: now, AlwaysServesRecords: c.hasReplica(), LinkBytesPerSecond: cfg.LinkBitsPerSecond / bitsPerByte,
+	})
 	shared.onTimer = func(now time.Time) {
 		c.sendSyncResponses(c.directoryServer.Tick(now))
 		c.updateJoinPeers()
