--- a/internal/steering/egress.go
+++ b/internal/steering/egress.go
@@ -24,6 +24,10 @@
 	// maxHeldPackets bounds the memory for held packets and messages. It has room for the
 	// windows of 32 uploads.
 	maxHeldPackets = 512
+	// maxHoldTime is how long a packet or message is held at most. Its sender has repeated
+	// it by then. A process that was paused for seconds must not act on what it decided
+	// before: the upstream may have left, and the caller may have given up.
+	maxHoldTime = 2 * time.Second
 	// messageBytes is the size of a message without its lookups.
 	messageBytes = 60
 	// resetBytes is the size of a reset.
@@ -51,16 +55,22 @@
 	idleAt time.Time
 	// urgent lists the held packets that are not bulk, messages the held messages, and
 	// bulk the held bulk packets by flow. held is the number of all of them.
-	urgent, messages []Action
+	urgent, messages []heldAction
 	bulk             []bulkQueue
 	held             int
 }
 
+// heldAction is an action that waits for the link since heldAt.
+type heldAction struct {
+	Action
+	heldAt time.Time
+}
+
 // bulkQueue has the held bulk packets of one flow.
 type bulkQueue struct {
 	key      flow.Key
 	openedAt time.Time
-	packets  []Action
+	packets  []heldAction
 }
 
 // egressClass is how an action is scheduled.
@@ -101,7 +111,7 @@
 			e.countSent(now, size)
 			kept = append(kept, action)
 		default:
-			if reason := e.hold(&action, class); reason != "" {
+			if reason := e.hold(now, &action, class); reason != "" {
 				kept = append(kept, Action{Kind: Drop, Reason: reason, Flow: action.Flow})
 			}
 		}
@@ -156,36 +166,31 @@
 // hold holds an action. A copy of a bulk packet that is held already is not needed: its
 // sender repeats what is not acknowledged within 200 ms. hold returns the reason if the
 // packet is dropped.
-func (e *egressScheduler) hold(action *Action, class egressClass) Reason {
+func (e *egressScheduler) hold(now time.Time, action *Action, class egressClass) Reason {
 	index := slices.IndexFunc(e.bulk, func(q bulkQueue) bool { return q.key == action.Flow })
-	if class.bulk && index >= 0 && slices.ContainsFunc(e.bulk[index].packets, func(p Action) bool { return bytes.Equal(p.Data, action.Data) }) {
+	if class.bulk && index >= 0 && slices.ContainsFunc(e.bulk[index].packets, func(p heldAction) bool { return bytes.Equal(p.Data, action.Data) }) {
 		return Repeated
 	}
 	if e.held >= maxHeldPackets {
 		return LinkSaturated
 	}
 	e.held++
+	// The data is valid only until the next call of a method of the balancer.
+	held := heldAction{Action: *action, heldAt: now}
+	held.Data = slices.Clone(action.Data)
 	switch {
 	case action.Kind == SendMessage:
-		e.messages = append(e.messages, *action)
+		e.messages = append(e.messages, held)
 	case !class.bulk:
-		e.urgent = append(e.urgent, heldCopy(action))
+		e.urgent = append(e.urgent, held)
 	case index < 0:
-		e.bulk = append(e.bulk, bulkQueue{key: action.Flow, openedAt: class.openedAt, packets: []Action{heldCopy(action)}})
+		e.bulk = append(e.bulk, bulkQueue{key: action.Flow, openedAt: class.openedAt, packets: []heldAction{held}})
 	default:
-		e.bulk[index].packets = append(e.bulk[index].packets, heldCopy(action))
+		e.bulk[index].packets = append(e.bulk[index].packets, held)
 	}
 	return ""
 }
 
-// heldCopy copies an action with its data, which is valid only until the next call of
-// a method of the balancer.
-func heldCopy(action *Action) Action {
-	held := *action
-	held.Data = slices.Clone(action.Data)
-	return held
-}
-
 // release adds the held packets that the link has room for to the actions.
 func (e *egressScheduler) release(now time.Time, actions *[]Action) {
 	for len(e.urgent) > 0 && e.backlog(now) < maxUrgentBacklog {
@@ -207,10 +212,16 @@
 	}
 }
 
-func (e *egressScheduler) send(now time.Time, action *Action, actions *[]Action) {
+// send removes a held action from the count and passes it to the link, unless it was
+// held for too long.
+func (e *egressScheduler) send(now time.Time, held *heldAction, actions *[]Action) {
 	e.held--
-	e.countSent(now, linkBytes(action))
-	*actions = append(*actions, *action)
+	if now.Sub(held.heldAt) > maxHoldTime {
+		*actions = append(*actions, Action{Kind: Drop, Reason: HeldTooLong, Flow: held.Flow})
+		return
+	}
+	e.countSent(now, linkBytes(&held.Action))
+	*actions = append(*actions, held.Action)
 }
 
 // oldestBulk returns the index of the queue of the flow that was opened first.
@@ -230,7 +241,7 @@
 	for i := range e.bulk {
 		if e.bulk[i].key == key {
 			for j := range e.bulk[i].packets {
-				size += linkBytes(&e.bulk[i].packets[j])
+				size += linkBytes(&e.bulk[i].packets[j].Action)
 			}
 		}
 	}
--- a/internal/steering/egress_test.go
+++ b/internal/steering/egress_test.go
@@ -266,3 +266,23 @@
 		require.Len(t, burst.link.delivered[port], 2)
 	}
 }
+
+// A balancer that was paused must not send what it held before the pause: the upstream
+// may have left since, and the caller may have given up.
+func TestHeldPacketsExpireDuringAPause(t *testing.T) {
+	h := newLinkHarness(t, 2e6)
+	h.openFlowTo(1, uploadPort)
+	h.sendWindow(1, 0)
+	sent := len(h.link.delivered[1])
+	require.Less(t, sent, windowPackets)
+	h.now = h.now.Add(5 * time.Second)
+	h.Tick(h.now, &h.actions)
+	for _, action := range h.transmit() {
+		require.Equal(t, steering.Drop, action.Kind)
+		require.Equal(t, steering.HeldTooLong, action.Reason)
+	}
+	require.Len(t, h.link.delivered[1], sent)
+	h.sendWindow(1, 0)
+	h.advance(time.Second)
+	require.Len(t, h.link.delivered[1], sent+windowPackets, "later packets are sent again")
+}
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -117,6 +117,8 @@
 	// on buffered packets is reached.
 	LookupQueueFull Reason = "search_limit"
 	BufferFull      Reason = "hold_full"
+	// HeldTooLong: a packet is dropped because it has waited for the link for too long.
+	HeldTooLong Reason = "held_too_long"
 	// DirectoryIncomplete, AgentNotResponding and AgentUndetermined state why a lookup
 	// that found no holder does not prove that there is none.
 	DirectoryIncomplete Reason = "directory_incomplete"
