steering, fabric: a stopping balancer sends what it holds for the link

A balancer that stops could exit while it held packets for its thin link; their senders repeat them, 200 ms and more later. It now waits until none is held, within the same limit as before, and reports the number as a gauge.

--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -66,6 +66,7 @@
 	shared.onTimer = func(now time.Time) {
 		b.runDecision(now, func(out *[]steering.Action) { b.core.Tick(now, out) })
 		b.setGauge("flows", b.core.Flows())
+		b.setGauge("packets.held", b.core.HeldPackets())
 		b.setGauge("upstreams.ready", b.core.ReadyUpstreams())
 		b.setGauge("desired.version", int(b.appliedVersion))
 	}
@@ -99,7 +100,8 @@
 }
 
 // drain publishes that the balancer has left. It then waits until no packet has
-// arrived for idleBeforeStop, but at most for maxStopFraction of the grace period.
+// arrived for idleBeforeStop and none waits for the link, but at most for
+// maxStopFraction of the grace period.
 func (b *Balancer) drain() {
 	b.mu.Lock()
 	b.stopping = true
@@ -110,7 +112,7 @@
 	for time.Since(started) < limit {
 		time.Sleep(idlePollInterval)
 		b.mu.Lock()
-		idle := time.Since(b.lastPacketAt) > idleBeforeStop && time.Since(started) > idleBeforeStop
+		idle := time.Since(b.lastPacketAt) > idleBeforeStop && time.Since(started) > idleBeforeStop && b.core.HeldPackets() == 0
 		b.mu.Unlock()
 		if idle {
 			return
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -201,6 +201,9 @@
 	return now.Sub(entry.createdAt), true
 }
 
+// HeldPackets returns the number of packets and messages that wait for the link.
+func (b *Balancer) HeldPackets() int { return b.egress.held }
+
 // Flows returns the number of flows in the table.
 func (b *Balancer) Flows() int { return len(b.flows) }
 
--- a/internal/steering/egress_test.go
+++ b/internal/steering/egress_test.go
@@ -275,6 +275,7 @@
 	h.sendWindow(1, 0)
 	sent := len(h.link.delivered[1])
 	require.Less(t, sent, windowPackets)
+	require.Equal(t, windowPackets+1-sent, h.HeldPackets(), "a stopping balancer waits for these")
 	h.now = h.now.Add(5 * time.Second)
 	h.Tick(h.now, &h.actions)
 	for _, action := range h.transmit() {
@@ -285,4 +286,5 @@
 	h.sendWindow(1, 0)
 	h.advance(time.Second)
 	require.Len(t, h.link.delivered[1], sent+windowPackets, "later packets are sent again")
+	require.Zero(t, h.HeldPackets())
 }
