--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -193,6 +193,24 @@
 	require.Equal(t, address(7), result.Requests[0].To)
 }
 
+// A process that gets a response from a control process that it does not know must send
+// it a request at once. After a loss of power the seeds in the settings may be the last
+// ones that are back.
+func TestAnnouncedControlProcessGetsRequestAtOnce(t *testing.T) {
+	for _, role := range []vm.Role{vm.RoleBalancer, vm.RoleUpstream, vm.RoleControl} {
+		s, c := newServer(7), newClient(role, 10, address(1))
+		result := c.HandleSyncResponse(start, address(7), s.Status())
+		require.True(t, result.FirstResponse)
+		requests := map[netip.Addr]int{}
+		for _, request := range result.Requests {
+			requests[request.To]++
+		}
+		require.Equal(t, 1, requests[address(7)])
+		again := c.HandleSyncResponse(start, address(7), s.Status())
+		require.Empty(t, again.Requests, "known by now")
+	}
+}
+
 // A balancer must subscribe to a few control processes only. When it got each
 // change from every control process, 300 VMs used more of the links between zones
 // than all packets of callers.
