--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -320,7 +320,8 @@
 	// Changed is set if the table has changed.
 	Changed bool
 	// Requests lists the requests to send: to control processes that are new, the sender
-	// included, or to all of them after a restart of one or after a raise of the process incarnation.
+	// included, or to all of them after a restart of one or after a raise of the process
+	// incarnation.
 	Requests []AddressedRequest
 	// BecameComplete is set if the table is complete for the first time.
 	BecameComplete bool
--- a/internal/steering/lookup_batch.go
+++ b/internal/steering/lookup_batch.go
@@ -36,8 +36,9 @@
 )
 
 // lookupBatch is a set of flow lookups with the same scope that is sent to all agents
-// of that scope under one lookup ID. Batches save bytes on a slow link when many flows are looked up at once: sent
-// one by one, the lookups of a thousand flows among 60 agents take megabytes.
+// of that scope under one lookup ID. Batches save bytes on a slow link when many flows
+// are looked up at once: sent one by one, the lookups of a thousand flows among 60
+// agents take megabytes.
 type lookupBatch struct {
 	id    uint32
 	flows []*flowEntry
@@ -124,9 +125,9 @@
 func lookupBytes(agents, flows int) int { return agents * (bytesPerExchange + flows*bytesPerLookup) }
 
 // lookupsAllowed returns how many of the queued lookups may be sent now, and takes their
-// bytes from lookupLimiter. If the limiter does not allow all that fit into a
-// request, it returns 0 until the full burst is available. Larger batches need fewer
-// bytes for each flow.
+// bytes from lookupLimiter. If the limiter does not allow all that fit into a request,
+// it returns 0 until the full burst is available. Larger batches need fewer bytes for
+// each flow.
 func (b *Balancer) lookupsAllowed(now time.Time, agents, queued int) int {
 	bytesPerSecond := float64(maxLookupBytesPerSecond)
 	if link := b.cfg.LinkBitsPerSecond; link > 0 {
