soak: an upstream waits for the address of its predecessor

Cause: at that moment the faults ended, and a killed agent was started again. A process that is just being started has copies of all open sockets until it executes its program, and they keep an address in use that the soak has closed. Ruled out: two replacements of one upstream at a time (a lock), a write in progress while the socket is closed (Go waits for it; a test of that passes). Waiting for syscall.ForkLock was tried and is not enough (the same error).

Change: the soak tries for up to a second while the address is in use. TestUpstreamFollowsAnotherWhileProcessesStart fails before with the same error.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,7 +1,11 @@
 package soak
 
 import (
+	"context"
+	"net/http"
 	"net/netip"
+	"os"
+	"os/exec"
 	"sync"
 	"testing"
 	"time"
@@ -115,3 +119,27 @@
 	require.NoError(t, err)
 	require.True(t, decoded.ChecksumValid())
 }
+
+// An upstream must be able to follow another one at its address at once, also while
+// processes are started. Otherwise the soak reports a failure of its own.
+func TestUpstreamFollowsAnotherWhileProcessesStart(t *testing.T) {
+	d := &deployment{upstreams: map[netip.AddrPort]*upstream{}, client: &http.Client{}}
+	agent := &process{settings: platformtest.Settings{
+		Address: netip.MustParseAddr("127.80.0.102"), App: netip.MustParseAddrPort("127.80.0.102:18504"), Service: "orders",
+	}}
+	ctx, cancel := context.WithCancel(t.Context())
+	starters := sync.WaitGroup{}
+	for range 4 {
+		starters.Go(func() {
+			for ctx.Err() == nil {
+				_ = exec.CommandContext(ctx, os.Args[0], "-test.run", "^$").Run()
+			}
+		})
+	}
+	defer starters.Wait()
+	defer cancel()
+	for range 2000 {
+		require.NoError(t, d.startUpstream(agent, "i"))
+		d.upstreams[agent.settings.App].stop()
+	}
+}
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"bramleyhold.example/bramleyhold/platform/platformtest"
@@ -57,15 +58,10 @@
 // startUpstream starts an upstream at the application address of an agent.
 func (d *deployment) startUpstream(agent *process, id string) error {
 	appAddress := agent.settings.App
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(appAddress))
+	conn, listener, err := listenAt(appAddress)
 	if err != nil {
 		return fmt.Errorf("upstream %s: %w", id, err)
 	}
-	// Agents detect the upstream process by a TCP connection.
-	listener, err := net.Listen("tcp", appAddress.String())
-	if err != nil {
-		return errors.Join(fmt.Errorf("upstream %s: %w", id, err), conn.Close())
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	u := &upstream{
 		deployment: d, agent: agent, id: id, service: agent.settings.Service, startedAt: time.Now(), conn: conn, listener: listener, cancel: cancel,
@@ -81,6 +77,27 @@
 	return nil
 }
 
+// addressReuseTimeout bounds how long an upstream waits for its address. A process that
+// is just being started has copies of all open sockets until it executes its program,
+// for some milliseconds. They keep the address of the previous upstream in use.
+const addressReuseTimeout = time.Second
+
+// listenAt opens the sockets of an upstream. Agents detect the process of the upstream by
+// a TCP connection.
+func listenAt(address netip.AddrPort) (conn *net.UDPConn, listener net.Listener, err error) {
+	for deadline := time.Now().Add(addressReuseTimeout); ; time.Sleep(time.Millisecond) {
+		if conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address)); err == nil {
+			if listener, err = net.Listen("tcp", address.String()); err == nil {
+				return conn, listener, nil
+			}
+			err = errors.Join(err, conn.Close())
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+			return nil, nil, err
+		}
+	}
+}
+
 // stop ends the upstream without notifying its agent.
 func (u *upstream) stop() {
 	u.deployment.mu.Lock()
