--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Raises idle_timeout_ms; consumers then pause for longer than the former value.
+# Kills a follower of the core while it installs a snapshot; later another disk is lost.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/standin ] || exit 2
-exec review/bin/standin idle-timeout review/3
+exec review/bin/standin snapshot-install review/3
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,6 +31,7 @@
 	"core-replacement": playCoreReplacement,
 	"idle-timeout":     playIdleTimeout,
 	"early-hup":        playEarlyHUP,
+	"snapshot-install": playSnapshotInstall,
 }
 
 func main() {
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -21,6 +21,8 @@
 	machines []*machine
 	next     int
 	client   *http.Client
+	// quiet leaves acknowledgements out of the record.
+	quiet bool
 }
 
 // maxRedirects is how often a call follows a redirect.
@@ -96,7 +98,9 @@
 	for deadline := time.Now().Add(timeout); time.Now().Before(deadline) && ctx.Err() == nil; sleep(ctx, 100*time.Millisecond) {
 		status, response, to := o.call(ctx, http.MethodPut, body)
 		if status == http.StatusOK {
-			o.d.recordf("operator: version %d is acknowledged by way of %s", version, to)
+			if !o.quiet {
+				o.d.recordf("operator: version %d is acknowledged by way of %s", version, to)
+			}
 			return true
 		}
 		if status != 0 && status/100 != 5 {
