consensus: replaced voters hand over their votes; successors vote before they are needed

Cause: a successor stayed a learner while three voters responded, and a stopped process gave away its leadership but not its vote. The vote went to a successor after contact_ms (4 s) without a response. A second removal within that time left one voter of three. Only a leader can admit the successors, so nothing ended it. Ruled out: successors that are not caught up (both learners had the log within a second), and the directory (all processes knew each other).

Change, in Core.nextVoterChange: - a voter that gets SIGTERM requests to leave; a caught-up learner becomes a voter, then the leaving one a learner; - caught-up learners become voters in pairs while all voters respond, up to 4f+1. This covers removals without SIGTERM and in the same moment; - a voter that is gone without notice is replaced after half of catch_up_s instead of contact_ms. Voters that are replaced stay learners, so that the leader finds them when they return. The line "voters changed" and two gauges show the members.

Not covered: one successor, one removal without SIGTERM and a second loss within half of catch_up_s. Two of four replicas are left, which can't be told from a cut.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -61,6 +61,7 @@
 	// targetVoters, if above zero, lets new replicas join. The first initialVoters
 	// replicas then bootstrap the cluster.
 	targetVoters     int
+	maxVoters        int
 	initialVoters    int
 	lastReadID       uint64
 	snapshotInstalls int
@@ -91,6 +92,7 @@
 	options := consensus.DefaultOptions(consensus.ReplicaID{VM: replica.id, Incarnation: c.lastIncarnation}, peers)
 	options.ElectionTimeout, options.HeartbeatInterval, options.MaxBatchBytes, options.MaxInflightBatches = electionTimeout, heartbeatInterval, 600, 3
 	options.TargetVoters, options.ReplaceVoterAfter, options.NoBootstrap = c.targetVoters, 4*electionTimeout, replica.noBootstrap
+	options.MaxVoters = c.maxVoters
 	restored := replica.disk
 	restored.Entries = slices.Clone(replica.disk.Entries)
 	core, err := consensus.New(options, restored, c.now, rand.New(rand.NewPCG(c.random.Uint64(), 2)))
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -176,6 +176,8 @@
 		c.receiveFromLeader(now, m)
 	case m.AppendResponse != nil:
 		c.receiveAppendResponse(now, m)
+	case m.LeaveRequest != nil:
+		c.receiveLeaveRequest(now, m)
 	case m.TimeoutNow != nil:
 		if c.role == Follower && c.isVoter() {
 			c.startElection(now, false, true)
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -39,7 +39,10 @@
 	matchAdvanced  bool
 	snapshotSentAt time.Time
 	lastResponseAt time.Time
-	readRound      uint64
+	// leavingUntil is the time until which the follower must not vote, because it is
+	// about to stop. It is zero if the follower has not requested to leave.
+	leavingUntil time.Time
+	readRound    uint64
 }
 
 // pendingRead is a read that a majority of voters has not confirmed yet.
@@ -102,24 +105,21 @@
 }
 
 // TransferLeadership starts a transfer to the voter with the highest match index
-// among those that responded within the last election timeout. It reports whether
-// there is such a voter. Proposals are rejected until that voter is the leader or
-// an election timeout has passed.
+// among those that responded within the last election timeout. Voters that are about
+// to stop are chosen last. It reports whether there is such a voter. Proposals are
+// rejected until that voter is the leader or an election timeout has passed.
 func (c *Core) TransferLeadership(now time.Time) bool {
 	if c.role != Leader {
 		return false
 	}
-	target, found := ReplicaID{}, false
+	target, best := ReplicaID{}, (*progress)(nil)
 	for _, r := range c.Configuration().Voters {
 		p, ok := c.leaderState.progress[r]
-		if !ok || now.Sub(p.lastResponseAt) > c.options.ElectionTimeout {
-			continue
-		}
-		if !found || p.matchIndex > c.leaderState.progress[target].matchIndex {
-			target, found = r, true
+		if ok && c.isResponsive(now, p) && (best == nil || p.isBetterTransferTarget(now, best)) {
+			target, best = r, p
 		}
 	}
-	if !found {
+	if best == nil {
 		return false
 	}
 	c.leaderState.transferTarget, c.leaderState.transferDeadline = target, now.Add(c.options.ElectionTimeout)
@@ -127,6 +127,13 @@
 	return true
 }
 
+func (p *progress) isBetterTransferTarget(now time.Time, other *progress) bool {
+	if isLeaving := now.Before(p.leavingUntil); isLeaving != now.Before(other.leavingUntil) {
+		return !isLeaving
+	}
+	return p.matchIndex > other.matchIndex
+}
+
 // sendTimeoutNowIfComplete sends TimeoutNow to a follower if it is the target of a
 // leadership transfer and has all entries of the leader's log.
 func (c *Core) sendTimeoutNowIfComplete(to ReplicaID) {
@@ -137,8 +144,8 @@
 }
 
 // tickLeader checks the quorum and the deadline of a leadership transfer. Once per
-// heartbeat interval it also sends heartbeats, promotes eligible learners and
-// removes unresponsive learners.
+// heartbeat interval it also sends heartbeats, adjusts the voters and removes
+// unresponsive learners.
 func (c *Core) tickLeader(now time.Time) {
 	if !now.Before(c.leaderState.nextQuorumCheck) {
 		c.leaderState.nextQuorumCheck = now.Add(c.options.ElectionTimeout)
@@ -161,8 +168,8 @@
 		}
 		p.rewindIfStalled()
 		c.sendHeartbeat(r, p)
-		c.promoteLearner(now, r)
 	}
+	c.adjustVoters(now)
 	c.removeUnresponsiveLearner(now)
 }
 
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -12,11 +12,6 @@
 // cluster counts towards the bootstrap. After that time the peer may belong to one.
 const noClusterResponseValidity = 5 * time.Second
 
-// maxPromotionLag bounds the number of entries of the leader's log that a learner may
-// lack when it becomes a voter. The missing entries must be uncommitted: all committed
-// entries must be on its disk.
-const maxPromotionLag = 64
-
 // joinInterval is the mean interval between join requests to the same VM.
 func (c *Core) joinInterval() time.Duration { return c.options.ElectionTimeout }
 
@@ -156,44 +151,6 @@
 // limit has room for all voters of a deployment and a replacement for each.
 const maxLearners = 16
 
-// promoteLearner makes a learner a voter. To be eligible, the learner must have
-// responded within the last election timeout, must have all committed entries and may
-// lack at most maxPromotionLag entries. If the target number of voters is reached,
-// promoteLearner removes an unresponsive voter instead. The learner is then promoted
-// after that change is committed. Without an unresponsive voter it stays a learner.
-func (c *Core) promoteLearner(now time.Time, r ReplicaID) {
-	configuration := c.Configuration()
-	p, ok := c.leaderState.progress[r]
-	if !ok || !configuration.isLearner(r) || now.Sub(p.lastResponseAt) > c.options.ElectionTimeout {
-		return
-	}
-	if p.matchIndex < c.log.commitIndex || p.matchIndex+maxPromotionLag < c.log.lastIndex() {
-		return
-	}
-	if target := c.options.TargetVoters; target > 0 && len(configuration.Voters) >= target {
-		if unresponsive, found := c.longestUnresponsiveVoter(now, configuration); found {
-			c.changeConfiguration(now, configuration.withoutVM(unresponsive.VM))
-		}
-		return
-	}
-	next := configuration.withoutVM(r.VM)
-	next.Voters = append(next.Voters, r)
-	slices.SortFunc(next.Voters, func(a, b ReplicaID) int { return cmp.Compare[vm.ID](a.VM, b.VM) })
-	c.changeConfiguration(now, next)
-}
-
-// longestUnresponsiveVoter returns the voter whose last response is the oldest. It
-// returns false if no voter has been unresponsive for longer than ReplaceVoterAfter.
-func (c *Core) longestUnresponsiveVoter(now time.Time, configuration Configuration) (ReplicaID, bool) {
-	longest, voter := c.options.ReplaceVoterAfter, ReplicaID{}
-	for _, r := range configuration.Voters {
-		if p, ok := c.leaderState.progress[r]; ok && now.Sub(p.lastResponseAt) > longest {
-			longest, voter = now.Sub(p.lastResponseAt), r
-		}
-	}
-	return voter, voter != ReplicaID{}
-}
-
 // learnerRemovalTimeout is the time without a response after which a learner is
 // removed. It must far exceed the outage of a restart. A removed learner that returns
 // is admitted again.
@@ -220,10 +177,14 @@
 // or no entry of the current term is committed. Without these rules two majorities
 // without a common voter would be possible.
 func (c *Core) changeConfiguration(now time.Time, next Configuration) {
-	_, index := c.log.latestConfiguration()
-	if index > c.log.commitIndex || !c.hasCommittedInTerm() {
+	if !c.canChangeConfiguration() {
 		return
 	}
 	c.appendNewEntry(Entry{Kind: KindConfiguration, Configuration: &next})
 	c.reconcileProgress(now)
 }
+
+func (c *Core) canChangeConfiguration() bool {
+	_, index := c.log.latestConfiguration()
+	return index <= c.log.commitIndex && c.hasCommittedInTerm()
+}
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -20,6 +20,7 @@
 	TimeoutNow      *TimeoutNow             `cbor:"10,keyasint,omitempty"`
 	JoinRequest     *JoinRequest            `cbor:"11,keyasint,omitempty"`
 	JoinResponse    *JoinResponse           `cbor:"12,keyasint,omitempty"`
+	LeaveRequest    *LeaveRequest           `cbor:"13,keyasint,omitempty"`
 }
 
 // VoteRequest is sent by a candidate to every other voter. As a pre-vote it
@@ -96,3 +97,7 @@
 	// in the configuration.
 	ConfiguredIncarnation vm.Incarnation `cbor:"2,keyasint,omitempty"`
 }
+
+// LeaveRequest is sent to the leader by a voter whose process is about to stop. The
+// leader makes it a learner as soon as another replica can vote in its place.
+type LeaveRequest struct{}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -75,7 +75,9 @@
 	}
 	c.advanceCommit(now)
 	c.sendTimeoutNowIfComplete(m.From)
-	c.promoteLearner(now, m.From)
+	if c.Configuration().isLearner(m.From) {
+		c.adjustVoters(now)
+	}
 }
 
 // rewindToHint resets nextIndex to the position that the follower suggested in a
@@ -99,7 +101,5 @@
 	}
 	c.log.setCommitIndex(index)
 	c.leaderState.heartbeatPending = true
-	for _, learner := range c.Configuration().Learners {
-		c.promoteLearner(now, learner)
-	}
+	c.adjustVoters(now)
 }
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -53,6 +53,13 @@
 	}
 }
 
+// withLearner returns a copy of the configuration in which a replica is a learner.
+func (c Configuration) withLearner(r ReplicaID) Configuration {
+	next := c.withoutVM(r.VM)
+	next.Learners = append(next.Learners, r)
+	return next
+}
+
 // EntryKind is the type of the content of an entry.
 type EntryKind uint8
 
@@ -122,9 +129,12 @@
 	// configuration may join as learners. If it is zero, only VMs of the
 	// configuration are admitted, with a new incarnation after the loss of the disk.
 	TargetVoters int
-	// ReplaceVoterAfter is the time without a response from a voter after which a
-	// learner that is eligible for promotion replaces the voter. It is used only if
-	// TargetVoters is above zero.
+	// MaxVoters bounds the voters that the leader adds beyond TargetVoters while more
+	// replicas are eligible. If it is at most TargetVoters, none are added.
+	MaxVoters int
+	// ReplaceVoterAfter is the time without a response from a voter after which it
+	// becomes a learner, if an eligible learner can replace it or if TargetVoters others
+	// remain. It is used only if TargetVoters is above zero.
 	ReplaceVoterAfter time.Duration
 	// ElectionTimeout is the shortest time without contact from a leader before
 	// a voter starts an election. The actual time is random between one and two
--- /dev/null
+++ b/internal/consensus/voters_test.go
@@ -0,0 +1,146 @@
+package consensus_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bramleyhold.example/bramleyhold/internal/consensus"
+)
+
+// catchUpTime is the time that a new replica of a test gets to become a voter.
+const catchUpTime = 8 * electionTimeout
+
+// newClusterWithSuccessors returns a cluster of three voters that has committed a change,
+// and new replicas that have run for catchUpTime.
+func newClusterWithSuccessors(t *testing.T, successors int, seed uint64) *cluster {
+	c := newOpenMembershipCluster(t, 3, 3, seed)
+	c.lossRate, c.maxVoters = 0.03, 5
+	for _, replica := range c.replicas {
+		c.start(replica) // with maxVoters
+	}
+	c.commitChange(trafficChange("before", 0))
+	for range successors {
+		c.addReplica()
+	}
+	c.stepFor(catchUpTime)
+	return c
+}
+
+// leaveAndStop lets a replica request to leave until it has nothing to wait for, and stops
+// it. It fails the test if that takes longer than a second.
+func (c *cluster) leaveAndStop(replica *testReplica) {
+	c.t.Helper()
+	for deadline := c.now.Add(time.Second); replica.core.RequestLeave(); c.step() {
+		require.True(c.t, c.now.Before(deadline), "replica %s is still a voter", replica.id)
+		replica.core.TransferLeadership(c.now)
+		c.processOutputs(replica)
+	}
+	c.crash(replica)
+}
+
+// Guards against a group that can never form a majority again after two planned
+// replacements: two of three voters are removed without notice, at any distance in time,
+// when the successors of both have caught up.
+func TestRemovedVotersWithSuccessorsLeaveMajority(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			c := newClusterWithSuccessors(t, 2, seed)
+			random := rand.New(rand.NewPCG(seed, 3))
+			removed := random.Perm(3)
+			c.crash(c.replicas[removed[0]])
+			c.stepFor(time.Duration(random.Int64N(int64(5 * electionTimeout))))
+			c.crash(c.replicas[removed[1]])
+			require.EqualValues(t, 2, c.commitChange(trafficChange("after", 1)).Revision)
+			c.stepUntil("three voters that run", func() bool { return len(c.leaderVoters()) == 3 })
+		})
+	}
+}
+
+// Guards against a vote that a stopped process keeps: a voter leaves and is removed, and
+// at the same moment another voter loses its disk. The successor must have the vote of the
+// first by then.
+func TestLeavingVoterHandsOverItsVote(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			c := newClusterWithSuccessors(t, 1, seed)
+			leaving, wiped := c.replicas[seed%3], c.replicas[(seed+1)%3]
+			c.leaveAndStop(leaving)
+			c.crashAndWipe(wiped)
+			require.EqualValues(t, 2, c.commitChange(trafficChange("after", 1)).Revision)
+			wiped.noBootstrap = true
+			c.start(wiped)
+			c.stepUntil("three voters", func() bool { return len(c.leaderVoters()) == 3 && c.isVoter(wiped) })
+		})
+	}
+}
+
+// Guards against the same fault where both old voters are stopped as planned, one right
+// after the other.
+func TestVotersLeaveInTurn(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			c := newClusterWithSuccessors(t, 2, seed)
+			c.leaveAndStop(c.replicas[seed%3])
+			c.leaveAndStop(c.replicas[(seed+1)%3])
+			require.Len(t, c.leaderVoters(), 3)
+			require.EqualValues(t, 2, c.commitChange(trafficChange("after", 1)).Revision)
+		})
+	}
+}
+
+// A replica that left for a restart must follow the log again, and take a vote again when
+// one is free.
+func TestReplicaReturnsAfterLeaving(t *testing.T) {
+	c := newClusterWithSuccessors(t, 1, 11)
+	restarted := c.replicas[1]
+	c.leaveAndStop(restarted)
+	c.commitChange(trafficChange("b", 1))
+	c.start(restarted)
+	c.stepUntil("return", func() bool { return restarted.state.Revision == 2 })
+	require.False(t, c.isVoter(restarted))
+	c.crash(c.replicas[2])
+	c.stepUntil("promotion", func() bool { return c.isVoter(restarted) && len(c.leaderVoters()) == 3 })
+}
+
+// Without a replica that could take its place, a voter must not wait before it stops: the
+// restart of a process would take longer for nothing.
+func TestVoterWithoutSuccessorStopsAtOnce(t *testing.T) {
+	c := newOpenMembershipCluster(t, 3, 3, 12)
+	c.commitChange(trafficChange("a", 0))
+	for _, replica := range c.replicas {
+		require.False(t, replica.core.RequestLeave())
+	}
+}
+
+// Voters beyond the target must be added in pairs. An even number needs a larger majority
+// and tolerates no more losses.
+func TestVotersGrowInPairs(t *testing.T) {
+	for successors, want := range []int{3, 3, 5, 5} {
+		c := newClusterWithSuccessors(t, successors, 13)
+		c.stepFor(catchUpTime)
+		require.Len(t, c.leaderVoters(), want, "%d successors", successors)
+	}
+}
+
+// Requests to leave that arrive at a replica which does not lead, or from one that is not
+// in the configuration, must change nothing.
+func TestStrayLeaveRequests(t *testing.T) {
+	c := newClusterWithSuccessors(t, 1, 14)
+	leader := c.waitForLeader()
+	for _, replica := range c.replicas {
+		for _, from := range []consensus.ReplicaID{{VM: "unknown", Incarnation: 1}, leader.core.Self()} {
+			replica.core.Receive(c.now, consensus.Message{
+				From: from, To: replica.core.Self(), ClusterID: replica.disk.HardState.ClusterID, Term: replica.core.Term(), LeaveRequest: &consensus.LeaveRequest{},
+			})
+		}
+	}
+	c.stepFor(electionTimeout)
+	require.Len(t, c.leaderVoters(), 3)
+}
--- a/internal/control/raft_node.go
+++ b/internal/control/raft_node.go
@@ -11,6 +11,10 @@
 	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
+// leaveRetryInterval is the interval between requests to leave. It exceeds the time of
+// two configuration changes between zones.
+const leaveRetryInterval = 100 * time.Millisecond
+
 // RaftOptions are the parameters of a RaftNode.
 type RaftOptions struct {
 	Consensus consensus.Options
@@ -36,7 +40,10 @@
 	Role   consensus.Role
 	Leader vm.ID
 	Term   uint64
-	Voters []consensus.ReplicaID
+	// Voters and Learners are the members of the latest configuration in the log of the
+	// replica.
+	Voters   []consensus.ReplicaID
+	Learners []consensus.ReplicaID
 }
 
 // RaftNode is a Raft replica without a network server. Its owner transports
@@ -64,7 +71,8 @@
 
 func (p *publishedState) replicaState() ReplicaState {
 	return ReplicaState{
-		State: p.stateMachine.State, Role: p.role, Leader: p.leader.VM, Term: p.term, Voters: p.configuration.Voters,
+		State: p.stateMachine.State, Role: p.role, Leader: p.leader.VM, Term: p.term,
+		Voters: p.configuration.Voters, Learners: p.configuration.Learners,
 	}
 }
 
@@ -131,3 +139,32 @@
 		}
 	}
 }
+
+// Leave requests that another replica vote in place of this one, and waits until the
+// leader has made this replica a learner. It must be called after TransferLeadership,
+// and returns at once if no other replica can take the place. It returns an error if the
+// context ends or the replica stops while this replica is still a voter.
+func (n *RaftNode) Leave(ctx context.Context) error {
+	for {
+		state := n.replica.published()
+		mayBeReplaced := make(chan bool, 1)
+		select {
+		case n.replica.leaveRequests <- mayBeReplaced:
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-n.replica.stopped:
+			return errReplicaStopped
+		}
+		if !<-mayBeReplaced {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-n.replica.stopped:
+			return errReplicaStopped
+		case <-state.changed:
+		case <-time.After(leaveRetryInterval):
+		}
+	}
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -88,8 +88,11 @@
 	proposals        chan proposal
 	readRequests     chan chan<- requestResult
 	transferRequests chan struct{}
-	joinPeers        chan []vm.ID
-	stopped          chan struct{}
+	// leaveRequests carries the channels that receive the result of
+	// consensus.Core.RequestLeave.
+	leaveRequests chan chan<- bool
+	joinPeers     chan []vm.ID
+	stopped       chan struct{}
 
 	// pendingProposals are keyed by log index.
 	pendingProposals map[uint64]pendingProposal
@@ -129,7 +132,7 @@
 		core: core, store: store, stateMachine: initialState, applied: restored.Snapshot.Index,
 		send: options.send, onPublish: options.onPublish,
 		compactEntries: options.compactEntries, inbox: make(chan consensus.Message, inboxSize), proposals: make(chan proposal, maxBatch),
-		readRequests: make(chan chan<- requestResult, maxBatch), transferRequests: make(chan struct{}, 1), joinPeers: make(chan []vm.ID, 1),
+		readRequests: make(chan chan<- requestResult, maxBatch), transferRequests: make(chan struct{}, 1), leaveRequests: make(chan chan<- bool), joinPeers: make(chan []vm.ID, 1),
 		stopped: make(chan struct{}), pendingProposals: map[uint64]pendingProposal{}, pendingReads: map[uint64]chan<- requestResult{},
 	}
 	// Entries that were committed before the restart are applied before the
@@ -179,6 +182,8 @@
 			r.handleRead(response)
 		case <-r.transferRequests:
 			r.core.TransferLeadership(time.Now())
+		case mayBeReplaced := <-r.leaveRequests:
+			mayBeReplaced <- r.core.RequestLeave()
 		case joinPeers := <-r.joinPeers:
 			r.core.SetJoinPeers(joinPeers)
 		}
--- a/internal/fabric/config.go
+++ b/internal/fabric/config.go
@@ -64,8 +64,11 @@
 	StopGracePeriod time.Duration
 	// ReachableAfter is how long the network must be undisturbed until a VM counts
 	// as reachable from the others. Control replaces a voter that has not responded
-	// for this time.
+	// for this time, or for half of CatchUp if that is shorter.
 	ReachableAfter time.Duration
+	// CatchUp is the time after which a VM that has started again, or the successor of a
+	// removed VM, no longer counts as lost. Zero if the platform sets no such time.
+	CatchUp time.Duration
 }
 
 // Dependencies holds the logs, metrics and functions that a process uses besides
--- a/internal/fabric/control.go
+++ b/internal/fabric/control.go
@@ -36,6 +36,11 @@
 	// leadershipTransferTimeout bounds how long a stopping leader waits until another
 	// replica leads.
 	leadershipTransferTimeout = 2 * time.Second
+	// leaveTimeout bounds how long a stopping replica waits until another one votes in its
+	// place.
+	leaveTimeout = time.Second
+	// minReplaceVoterAfter exceeds the time without responses in an election.
+	minReplaceVoterAfter = 2 * electionTimeout
 	// minVoters is the smallest number of voters that keeps a majority after the loss
 	// of one.
 	minVoters = 3
@@ -90,7 +95,8 @@
 // hasReplica reports whether this process runs a Raft replica.
 func (c *Control) hasReplica() bool { return c.cfg.DataFolder != "" && c.cfg.CountsAsLoss }
 
-// Run serves until the context ends. A leader then transfers its leadership.
+// Run serves until the context ends. The replica then transfers its leadership and its
+// vote.
 func (c *Control) Run(ctx context.Context) error {
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -105,16 +111,29 @@
 	c.resetTimer(time.Now())
 	c.mu.Unlock()
 	<-ctx.Done()
-	if raft := c.raftNode.Load(); raft != nil {
-		transferCtx, cancelTransfer := context.WithTimeout(runCtx, leadershipTransferTimeout)
-		raft.TransferLeadership(transferCtx)
-		cancelTransfer()
-	}
+	c.handOver(runCtx)
 	cancel()
 	err := c.close()
 	return errors.Join(err, group.Wait())
 }
 
+// handOver transfers the leadership and the vote of the replica to others. The VM may be
+// removed for good after this stop, together with others whose successors run.
+func (c *Control) handOver(ctx context.Context) {
+	raft := c.raftNode.Load()
+	if raft == nil {
+		return
+	}
+	transferCtx, cancelTransfer := context.WithTimeout(ctx, leadershipTransferTimeout)
+	raft.TransferLeadership(transferCtx)
+	cancelTransfer()
+	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
+	defer cancelLeave()
+	if err := raft.Leave(leaveCtx); err != nil {
+		c.Log.WithError(err).Warn("stopping as a voter: no other replica has taken the place in time")
+	}
+}
+
 // runReplica runs the replica until the context ends, and opens it again after a
 // failure such as a failed disk write. That is safe, because everything that the
 // replica has acknowledged is on the disk.
@@ -170,11 +189,22 @@
 	options := consensus.DefaultOptions(self, peers)
 	options.NoBootstrap = !c.cfg.FirstStart
 	options.TargetVoters = max(2*c.cfg.MaxLosses+1, minVoters)
-	options.ReplaceVoterAfter = c.cfg.ReachableAfter
+	options.MaxVoters = 2*options.TargetVoters - 1
+	options.ReplaceVoterAfter = c.replaceVoterAfter()
 	options.ElectionTimeout, options.HeartbeatInterval = electionTimeout, heartbeatInterval
 	return options
 }
 
+// replaceVoterAfter returns how long a voter may be unresponsive before a learner
+// replaces it. The successor of a VM that was removed without notice must have its vote
+// within CatchUp. Half of that time remains for its admission and for the log.
+func (c *Control) replaceVoterAfter() time.Duration {
+	if half := c.cfg.CatchUp / 2; half > 0 && half < c.cfg.ReachableAfter {
+		return max(half, minReplaceVoterAfter)
+	}
+	return c.cfg.ReachableAfter
+}
+
 // handleStateChange stores a new replica state, and publishes a new leader or a
 // later version of the desired state in the directory. It runs in the goroutine
 // of the replica.
@@ -183,6 +213,11 @@
 	if previous == nil || previous.Role != state.Role || previous.Leader != state.Leader {
 		c.Log.WithFields(logrus.Fields{"role": state.Role, "leader": state.Leader, "term": state.Term, "voters": len(state.Voters)}).Info("replica role or leader changed")
 	}
+	if previous == nil || !slices.Equal(previous.Voters, state.Voters) {
+		c.Log.WithFields(logrus.Fields{"voters": state.Voters, "learners": state.Learners, "term": state.Term}).Info("voters changed")
+	}
+	c.setGauge("replica.voters", len(state.Voters))
+	c.setGauge("replica.learners", len(state.Learners))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.directoryServer.Leader = leaderAddress(&state)
