logstore: a start completes the replacement of the log that a kill interrupted

After its next planned restart it answers 503 for good: "log is damaged ... entry 1001 follows entry 987". The next lost disk leaves no majority.

The start after that refuses the gap.

Change: Open completes the replacement before it appends. On the same path, found by the same test: after a kill between a rename and the sync of the folder, Open did not sync the folder, so that entries went to a file whose name a loss of power takes back. Open now syncs it first.

--- a/internal/logstore/load.go
+++ b/internal/logstore/load.go
@@ -27,6 +27,8 @@
 type loader struct {
 	fileSystem FileSystem
 	restored   consensus.RestoredState
+	// logIncludesSnapshot is set if the log file has entries that the snapshot replaces.
+	logIncludesSnapshot bool
 }
 
 // load reads the snapshot and the log. It returns the size of the log file up to the
@@ -125,6 +127,9 @@
 // applyRecord applies one record to the restored state. An entry replaces all earlier
 // entries from its index on. It returns an error text if the record cannot follow the
 // earlier ones, and "" otherwise.
+//
+// A gap that the snapshot covers is valid: before Open completed interrupted
+// replacements of the log, entries after the snapshot were appended to the old log.
 func (l *loader) applyRecord(r record) string {
 	switch {
 	case r.HardState != nil:
@@ -132,6 +137,11 @@
 	case r.Entry != nil:
 		if entries := l.restored.Entries; len(entries) > 0 {
 			firstIndex, lastIndex := entries[0].Index, entries[len(entries)-1].Index
+			if snapshotIndex := l.restored.Snapshot.Index; lastIndex < snapshotIndex && r.Entry.Index == snapshotIndex+1 {
+				l.logIncludesSnapshot = true
+				l.restored.Entries = []consensus.Entry{*r.Entry}
+				return ""
+			}
 			if r.Entry.Index > lastIndex+1 || r.Entry.Index < firstIndex {
 				return fmt.Sprintf("entry %d follows entry %d", r.Entry.Index, lastIndex)
 			}
@@ -153,6 +163,7 @@
 	if len(entries) == 0 || entries[0].Index > snapshot.Index {
 		return
 	}
+	l.logIncludesSnapshot = true
 	replacedCount := snapshot.Index - entries[0].Index + 1
 	if replacedCount > uint64(len(entries)) || entries[replacedCount-1].Term != snapshot.Term {
 		l.restored.Entries = nil
--- a/internal/logstore/store.go
+++ b/internal/logstore/store.go
@@ -27,17 +27,24 @@
 }
 
 // Open reads the stored state and opens the log file for appending. It removes an
-// incomplete record at the end of the log file. If the folder has no log file, Open
-// creates one.
+// incomplete record at the end of the log file, and completes the replacement of the
+// log that a kill interrupted. If the folder has no log file, Open creates one.
 func Open(fileSystem FileSystem) (*Store, consensus.RestoredState, error) {
 	l := &loader{fileSystem: fileSystem}
 	size, err := l.load()
 	if err != nil {
 		return nil, consensus.RestoredState{}, err
 	}
+	// A kill may have come between a rename and the sync of the folder. The names must be
+	// durable before anything that follows from the loaded files is saved.
+	if err := fileSystem.SyncFolder(); err != nil {
+		return nil, consensus.RestoredState{}, fmt.Errorf("sync data folder: %w", err)
+	}
 	s := &Store{fileSystem: fileSystem, hardState: l.restored.HardState, logSize: size}
-	if size == 0 {
-		err = s.replaceLog(nil)
+	if size == 0 || l.logIncludesSnapshot {
+		// Entries appended to a log that ends before the snapshot, or conflicts with it,
+		// would not follow the entries before them.
+		err = s.replaceLog(l.restored.Entries)
 	} else {
 		err = s.openLogFile(size)
 	}
@@ -110,9 +117,9 @@
 }
 
 // saveSnapshot replaces the snapshot file before the log file. After a crash in
-// between, the folder contains the new snapshot and the old log, which is a valid
-// state. In the opposite order it would contain the old snapshot and the new log, and
-// the entries between them would be missing.
+// between, the folder contains the new snapshot and the old log, and Open replaces the
+// log. In the opposite order it would contain the old snapshot and the new log, and the
+// entries between them would be missing.
 func (s *Store) saveSnapshot(out *consensus.Output) error {
 	data, err := appendRecord([]byte(formatLine), record{Snapshot: out.Snapshot})
 	if err != nil {
