platform, steering: one odd check-in no longer takes an upstream out of service

A sequence number that is possible but far ahead is overcome when the upstream's own check-ins continue for two intervals, and a status that is ignored is not acknowledged (TestSequenceNumberOfAnotherWriter fails before: an ignored "leaving" was acknowledged).

--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -207,16 +207,17 @@
 // are ignored. A new incarnation resets the flows of previous incarnations, so that
 // their callers need not wait for a timeout.
 //
-// accepted is false for a check-in of a process that may have exited. Such a
-// check-in is ignored and must not be acknowledged.
+// accepted is false for a check-in of a process that may have exited, and for one that
+// reports another status under an earlier sequence number. Such a check-in is ignored
+// and must not be acknowledged.
 func (a *Agent) HandleCheckIn(now time.Time, checkIn CheckIn, actions *[]Action) (changed, accepted bool) {
 	previous := a.upstream
 	if a.checkedIn {
 		if checkIn.Incarnation < previous.Incarnation && !a.isSuccessor(now, &checkIn) {
 			return false, false
 		}
-		if checkIn.Incarnation == previous.Incarnation && checkIn.Sequence <= previous.Sequence {
-			return false, true
+		if checkIn.Incarnation == previous.Incarnation && checkIn.Sequence <= previous.Sequence && !a.sequenceWentBack(now, &checkIn) {
+			return false, checkIn.Sequence == previous.Sequence || checkIn.Status == previous.Status
 		}
 		if checkIn.Incarnation == previous.Incarnation && previous.Status != view.Ready && previous.Status != view.Failed && checkIn.Status == view.Ready {
 			// A leaving upstream does not become ready again.
@@ -262,6 +263,22 @@
 	if a.upstream.Status == view.Failed || a.upstream.Status == view.Left {
 		return true
 	}
+	return a.continues(now, checkIn)
+}
+
+// sequenceWentBack reports whether a check-in with an earlier sequence number comes from
+// the current process all the same. The number that was seen before is then not its own:
+// another writer sent a check-in in its name.
+func (a *Agent) sequenceWentBack(now time.Time, checkIn *CheckIn) bool {
+	if a.upstream.Status == view.Failed || a.upstream.Status == view.Left {
+		return false
+	}
+	return a.continues(now, checkIn)
+}
+
+// continues reports whether check-ins that follow one another under one start time have
+// arrived for longer than the last accepted sender can be late, and none of that sender.
+func (a *Agent) continues(now time.Time, checkIn *CheckIn) bool {
 	if successor := &a.possibleSuccessor; successor.incarnation != checkIn.Incarnation {
 		*successor = possibleSuccessor{incarnation: checkIn.Incarnation, lastSequence: checkIn.Sequence, firstCheckInAt: now}
 		return false
--- a/internal/steering/agent_test.go
+++ b/internal/steering/agent_test.go
@@ -459,6 +459,28 @@
 	require.EqualValues(t, 6, current.Incarnation)
 }
 
+// Guards against an agent that stops following its upstream: another writer sends one
+// check-in with a far higher sequence number in its name. That the upstream is leaving
+// must not be acknowledged while it is ignored, and must be heard soon.
+func TestSequenceNumberOfAnotherWriter(t *testing.T) {
+	a := newAgentHarness(t)
+	accepted := func(sequence uint64, status view.Status) bool {
+		_, accepted := a.HandleCheckIn(a.now, newCheckIn(5, sequence, status), &a.actions)
+		a.now = a.now.Add(time.Second)
+		return accepted
+	}
+	require.True(t, accepted(3, view.Ready))
+	require.True(t, accepted(1<<52, view.Ready))
+	require.True(t, accepted(4, view.Ready), "reports nothing new")
+	require.False(t, accepted(5, view.Leaving))
+	require.False(t, accepted(5, view.Leaving), "the same check-in again")
+	require.True(t, accepted(6, view.Leaving))
+	current, _ := a.Upstream()
+	require.Equal(t, view.Leaving, current.Status)
+	require.False(t, accepted(5, view.Ready), "a late check-in")
+	require.True(t, accepted(7, view.Leaving))
+}
+
 // If the VM's clock was ahead when the previous process started, and was set back
 // since, the check-ins of the current process look older. They must not all be
 // ignored; the agent would miss that the upstream is leaving. A process whose
