--- a/internal/fabric/control.go
+++ b/internal/fabric/control.go
@@ -58,9 +58,16 @@
 	// encodedDesired caches the encoded desired state of encodedVersion.
 	encodedDesired []byte
 	encodedVersion uint64
-	// joinPeers are the control processes that can admit the replica.
-	joinPeers []netip.Addr
-	known     knownProcesses
+	joinPeers      joinPeers
+	known          knownProcesses
+	// openFolder opens the data folder.
+	openFolder func(path string) (logstore.FileSystem, error)
+}
+
+// joinPeers are the control processes that were passed to a replica. They can admit it.
+type joinPeers struct {
+	node      *control.RaftNode
+	addresses []netip.Addr
 }
 
 // NewControl opens the message socket of a control process. Run processes
@@ -73,7 +80,7 @@
 	now := time.Now()
 	self := shared.directoryClient.Self()
 	self.Status = view.Ready
-	c := &Control{node: shared, known: knownProcesses{path: knownProcessesPath(cfg.DataFolder)}}
+	c := &Control{node: shared, known: knownProcesses{path: knownProcessesPath(cfg.DataFolder)}, openFolder: logstore.OpenFolder}
 	const bitsPerByte = 8
 	c.directoryServer = directory.NewServer(directory.ServerConfig{
 		Epoch: newRandom().Uint64(), Self: self, StartedAt: now, AlwaysServesRecords: c.hasReplica(), LinkBytesPerSecond: cfg.LinkBitsPerSecond / bitsPerByte,
@@ -140,8 +147,7 @@
 func (c *Control) runReplica(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := c.openAndRunReplica(ctx)
-		c.raftNode.Store(nil)
-		c.replicaState.Store(nil)
+		c.replicaClosed()
 		if ctx.Err() != nil {
 			return
 		}
@@ -153,8 +159,19 @@
 	}
 }
 
+// replicaClosed withdraws what this process told others about its replica. It may have
+// been the leader.
+func (c *Control) replicaClosed() {
+	c.raftNode.Store(nil)
+	c.replicaState.Store(nil)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.directoryServer.Leader = netip.Addr{}
+	c.joinPeers = joinPeers{}
+}
+
 func (c *Control) openAndRunReplica(ctx context.Context) error {
-	files, err := logstore.OpenFolder(c.cfg.DataFolder)
+	files, err := c.openFolder(c.cfg.DataFolder)
 	if err != nil {
 		return err
 	}
@@ -289,10 +306,10 @@
 	var addresses []netip.Addr
 	c.directoryServer.Table().Entries(vm.RoleControl, func(e *directory.Entry) { addresses = append(addresses, e.Address) })
 	slices.SortFunc(addresses, netip.Addr.Compare)
-	if slices.Equal(addresses, c.joinPeers) {
+	if raft == c.joinPeers.node && slices.Equal(addresses, c.joinPeers.addresses) {
 		return
 	}
-	c.joinPeers = addresses
+	c.joinPeers = joinPeers{node: raft, addresses: addresses}
 	ids := make([]vm.ID, 0, len(addresses))
 	for _, a := range addresses {
 		ids = append(ids, replicaID(a))
--- a/internal/fabric/control_test.go
+++ b/internal/fabric/control_test.go
@@ -1,10 +1,21 @@
 package fabric
 
 import (
+	"context"
+	"io"
+	"net/netip"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
+
+	"bramleyhold.example/bramleyhold/internal/intent"
+	"bramleyhold.example/bramleyhold/internal/logstore"
+	"bramleyhold.example/bramleyhold/internal/logstore/logstoretest"
 )
 
 // A voter that was removed without notice must be replaced before its successor has run
@@ -21,3 +32,56 @@
 		require.Equal(t, c.want, control.replaceVoterAfter(), "%v", c)
 	}
 }
+
+// Guards against a process that names itself as the leader while its disk is full, and
+// against a replica that knows no control process to join after its disk has room again.
+func TestReplicaWithFullDisk(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	address := netip.MustParseAddr("127.78.0.1")
+	control, err := NewControl(Config{
+		VM: "c", Address: address, NodePort: 17720, ControlPort: 17721, Seeds: []netip.Addr{address}, FirstStart: true, CountsAsLoss: true,
+		MaxLosses: 1, DataFolder: t.TempDir(), ReachableAfter: 4 * time.Second,
+	}, Dependencies{Log: logrus.NewEntry(log), Registry: metrics.NewRegistry(), Reload: func() (Config, error) { return Config{}, nil }})
+	require.NoError(t, err)
+	disk, folderFails := &logstoretest.FullDisk{}, atomic.Bool{}
+	control.openFolder = func(path string) (logstore.FileSystem, error) {
+		if folderFails.Load() {
+			return nil, syscall.ENOSPC
+		}
+		files, err := logstore.OpenFolder(path)
+		if err != nil {
+			return nil, err
+		}
+		return disk.Wrap(files), nil
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan error, 1)
+	go func() { stopped <- control.Run(ctx) }()
+	t.Cleanup(func() { cancel(); require.NoError(t, <-stopped) })
+	propose := func(version uint64) bool {
+		_, err := control.Propose(ctx, &intent.DesiredState{Version: version, IdleTimeout: time.Second, Document: []byte("{}")})
+		return err == nil
+	}
+	leader := func() netip.Addr {
+		control.mu.Lock()
+		defer control.mu.Unlock()
+		return control.directoryServer.Leader
+	}
+	hasJoinPeers := func() bool {
+		control.mu.Lock()
+		defer control.mu.Unlock()
+		return control.joinPeers.node != nil && control.joinPeers.node == control.raftNode.Load()
+	}
+	const timeout, interval = 10 * time.Second, 10 * time.Millisecond
+	require.Eventually(t, func() bool { return propose(1) && leader() == address && hasJoinPeers() }, timeout, interval)
+	first := control.raftNode.Load()
+	disk.SetFull(true)
+	folderFails.Store(true)
+	require.False(t, propose(2))
+	require.Eventually(t, func() bool { return !leader().IsValid() }, timeout, interval)
+	disk.SetFull(false)
+	folderFails.Store(false)
+	require.Eventually(t, func() bool { return propose(3) && leader() == address && hasJoinPeers() }, timeout, interval)
+	require.NotEqual(t, first, control.raftNode.Load())
+}
--- a/internal/logstore/store.go
+++ b/internal/logstore/store.go
@@ -49,6 +49,9 @@
 		err = s.openLogFile(size)
 	}
 	if err != nil {
+		if s.logFile != nil {
+			err = errors.Join(err, s.logFile.Close())
+		}
 		return nil, consensus.RestoredState{}, err
 	}
 	return s, l.restored, nil
@@ -59,17 +62,24 @@
 	if err := s.fileSystem.Truncate(logFileName, size); err != nil {
 		return fmt.Errorf("remove incomplete record from log: %w", err)
 	}
-	file, err := s.fileSystem.Append(logFileName)
-	if err != nil {
-		return fmt.Errorf("open log: %w", err)
+	var err error
+	if s.logFile, err = s.openForAppend(); err != nil {
+		return err
 	}
-	s.logFile = file
-	if err := file.Sync(); err != nil {
+	if err := s.logFile.Sync(); err != nil {
 		return fmt.Errorf("sync log: %w", err)
 	}
 	return nil
 }
 
+func (s *Store) openForAppend() (File, error) {
+	file, err := s.fileSystem.Append(logFileName)
+	if err != nil {
+		return nil, fmt.Errorf("open log: %w", err)
+	}
+	return file, nil
+}
+
 // LogSize returns the size of the log file in bytes.
 func (s *Store) LogSize() int64 { return s.logSize }
 
@@ -148,8 +158,8 @@
 	if s.logFile != nil {
 		_ = s.logFile.Close()
 	}
-	s.logFile, err = s.fileSystem.Append(logFileName)
 	s.logSize = int64(len(data))
+	s.logFile, err = s.openForAppend()
 	return err
 }
 
--- a/internal/logstore/store_test.go
+++ b/internal/logstore/store_test.go
@@ -25,6 +25,7 @@
 	unsyncedRenames map[string]string // renames since the last SyncFolder: old name by new name
 	operationCount  int
 	failAtOperation int
+	openFiles       int
 }
 
 func newMemoryFileSystem() *memoryFileSystem {
@@ -51,11 +52,19 @@
 
 func (m *memoryFileSystem) Create(name string) (File, error) {
 	m.files[name] = nil
-	return &memoryFile{fileSystem: m, name: name}, m.countOperation()
+	return m.open(name)
 }
 
 func (m *memoryFileSystem) Append(name string) (File, error) {
-	return &memoryFile{fileSystem: m, name: name}, m.countOperation()
+	return m.open(name)
+}
+
+func (m *memoryFileSystem) open(name string) (File, error) {
+	if err := m.countOperation(); err != nil {
+		return nil, err
+	}
+	m.openFiles++
+	return &memoryFile{fileSystem: m, name: name}, nil
 }
 
 func (m *memoryFileSystem) Truncate(name string, size int64) error {
@@ -129,7 +138,10 @@
 	return nil
 }
 
-func (f *memoryFile) Close() error { return nil }
+func (f *memoryFile) Close() error {
+	f.fileSystem.openFiles--
+	return nil
+}
 
 func newEntry(index, term uint64) consensus.Entry {
 	return consensus.Entry{Index: index, Term: term, Kind: consensus.KindCommand, Data: []byte(fmt.Sprintf("command %d of term %d", index, term))}
@@ -216,6 +228,23 @@
 	}
 }
 
+// Guards against descriptors that run out: a replica whose disk is full or broken is
+// opened again every 300 ms.
+func TestFailedOpenClosesFiles(t *testing.T) {
+	for _, outputs := range [][]consensus.Output{nil, sampleOutputs()} {
+		files := newMemoryFileSystem()
+		saveUntilFailure(files, outputs)
+		files.openFiles = 0
+		for failAfter := 1; ; failAfter++ {
+			files.failAtOperation = files.operationCount + failAfter
+			if _, _, err := Open(files); err == nil {
+				break
+			}
+			require.Zero(t, files.openFiles, "operation %d of Open fails", failAfter)
+		}
+	}
+}
+
 // Guards against a folder that refuses the second start after a kill: a replica is killed
 // at any operation, for example between the new snapshot and the new log, starts, saves
 // entries, and starts again. Every start must restore what was saved before it.
