--- a/internal/fabric/control.go
+++ b/internal/fabric/control.go
@@ -231,7 +231,7 @@
 		c.Log.WithFields(logrus.Fields{"role": state.Role, "leader": state.Leader, "term": state.Term, "voters": len(state.Voters)}).Info("replica role or leader changed")
 	}
 	if previous == nil || !slices.Equal(previous.Voters, state.Voters) {
-		c.Log.WithFields(logrus.Fields{"voters": state.Voters, "learners": state.Learners, "term": state.Term}).Info("voters changed")
+		c.Log.WithFields(logrus.Fields{"voters": replicaNames(state.Voters), "learners": replicaNames(state.Learners), "term": state.Term}).Info("voters changed")
 	}
 	c.setGauge("replica.voters", len(state.Voters))
 	c.setGauge("replica.learners", len(state.Learners))
@@ -249,6 +249,14 @@
 	}
 }
 
+func replicaNames(replicas []consensus.ReplicaID) []string {
+	names := make([]string, 0, len(replicas))
+	for _, r := range replicas {
+		names = append(names, r.String())
+	}
+	return names
+}
+
 // leaderAddress returns the zero address if there is no leader.
 func leaderAddress(state *control.ReplicaState) netip.Addr {
 	if state.Leader == "" {
