fabric: parts of messages between replicas are sent again

A message of 300 KB between two real sockets did not arrive, with and without loss: it does not fit into the receive buffer (212,992 bytes here), and the loss of one datagram lost the message.

Change: the receiver requests missing parts, at most 64 at a time, 20 ms after the last one; the sender keeps what it sent for two seconds.

Evidence: TestLostPartsAreSentAgain fails at its first message without it, at a loss of 0.002 and, with 1 MB, at none.

--- a/internal/fabric/node.go
+++ b/internal/fabric/node.go
@@ -70,6 +70,7 @@
 	}
 	now := time.Now()
 	n := &node{Dependencies: deps, cfg: cfg, transport: t, lastResponseAt: now}
+	t.countParts = func(name string, parts int) { metrics.GetOrRegisterCounter(name, n.Registry).Inc(int64(parts)) }
 	n.directoryClient = directory.NewClient(directory.ClientConfig{
 		Self: directory.Record{
 			VM: cfg.VM, Role: role, Address: cfg.Address, PacketPort: cfg.PacketAddress.Port(), Zone: cfg.Zone,
--- /dev/null
+++ b/internal/fabric/retransmission.go
@@ -0,0 +1,192 @@
+package fabric
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Messages between replicas are sent again by part: the receiver requests the parts that
+// it lacks, and the sender keeps what it has sent for a while.
+//
+// Load pattern: a replica with an empty disk gets a log or a snapshot of some hundred
+// datagrams at once. The loss of one of them used to lose the message, which was then
+// repeated as a whole after a heartbeat.
+const (
+	// missingPartsDelay is the time without a further part after which the missing ones
+	// are requested. It exceeds the reordering of datagrams between zones.
+	missingPartsDelay = 20 * time.Millisecond
+	// firstRequestInterval is the time until the second request, if no part arrives. It
+	// doubles with each request, and exceeds the round trip between regions.
+	firstRequestInterval = 40 * time.Millisecond
+	// maxPartsPerRequest bounds the parts that are sent again at once, so that they do not
+	// fill the receive buffer as the first transmission may have.
+	maxPartsPerRequest = 64
+	// maxRetainedBytes bounds the sent messages that are kept. It has room for the batches
+	// in flight to all replicas.
+	maxRetainedBytes = 4 << 20
+	// maxCompletedKeys bounds the keys of received messages that are kept, so that parts
+	// that arrive twice do not start a message again.
+	maxCompletedKeys = 256
+)
+
+// isResentByPart reports whether messages of a kind are sent again by part.
+func isResentByPart(kind datagramKind) bool { return kind == kindConsensus }
+
+// sentMessage is a message that may have to be sent again in part.
+type sentMessage struct {
+	to      netip.AddrPort
+	kind    datagramKind
+	number  uint32
+	payload []byte
+	sentAt  time.Time
+}
+
+// retainedMessages holds the latest sent messages, oldest first.
+type retainedMessages struct {
+	mu       sync.Mutex
+	messages []sentMessage
+	bytes    int
+}
+
+// add keeps a message and drops those that are too old or beyond maxRetainedBytes.
+func (r *retainedMessages) add(m sentMessage) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.messages = append(r.messages, m)
+	r.bytes += len(m.payload)
+	dropped := 0
+	for dropped < len(r.messages)-1 &&
+		(r.bytes > maxRetainedBytes || m.sentAt.Sub(r.messages[dropped].sentAt) > incompleteMessageTimeout) {
+		r.bytes -= len(r.messages[dropped].payload)
+		dropped++
+	}
+	r.messages = append([]sentMessage(nil), r.messages[dropped:]...)
+}
+
+// find returns the message with a number that was sent to an address.
+func (r *retainedMessages) find(to netip.Addr, number uint32) (sentMessage, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.messages {
+		if m.number == number && m.to.Addr() == to {
+			return m, true
+		}
+	}
+	return sentMessage{}, false
+}
+
+// completedKeys holds the keys of the messages that were received last.
+type completedKeys struct {
+	keys map[messageKey]bool
+	// order has the keys in the order of their completion, in a ring.
+	order [maxCompletedKeys]messageKey
+	next  int
+}
+
+func (c *completedKeys) add(key messageKey) {
+	if c.keys == nil {
+		c.keys = map[messageKey]bool{}
+	}
+	delete(c.keys, c.order[c.next])
+	c.order[c.next], c.keys[key] = key, true
+	c.next = (c.next + 1) % maxCompletedKeys
+}
+
+// missingPartsRequest returns a request for missing parts of the message with a number.
+// The number is followed by the indexes of the parts.
+func (m *incompleteMessage) missingPartsRequest(number uint32) []byte {
+	request := binary.BigEndian.AppendUint32(nil, number)
+	for i, part := range m.parts {
+		if part == nil && len(request) < 4+2*maxPartsPerRequest {
+			request = binary.BigEndian.AppendUint16(request, uint16(i))
+		}
+	}
+	return request
+}
+
+// requestDueAt returns when the missing parts must be requested next.
+func (m *incompleteMessage) requestDueAt() time.Time {
+	dueAt := m.lastPartAt.Add(missingPartsDelay)
+	if next := m.lastRequestAt.Add(m.requestInterval); next.After(dueAt) && m.lastRequestAt.After(m.lastPartAt) {
+		return next
+	}
+	return dueAt
+}
+
+// requestMissingParts sends the requests that are due and sets the timer for the next
+// ones. It runs in the goroutine of the timer.
+func (t *transport) requestMissingParts() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.requestTimerSet = false
+	now := time.Now()
+	for key, message := range t.incomplete {
+		if !isResentByPart(message.kind) {
+			continue
+		}
+		if now.Sub(message.firstPartAt) > incompleteMessageTimeout {
+			delete(t.incomplete, key)
+			continue
+		}
+		if now.Before(message.requestDueAt()) {
+			continue
+		}
+		message.requestInterval = max(firstRequestInterval, 2*message.requestInterval)
+		if message.lastPartAt.After(message.lastRequestAt) {
+			message.requestInterval = firstRequestInterval
+		}
+		message.lastRequestAt = now
+		request := message.missingPartsRequest(key.number)
+		t.countParts("link.parts_requested", (len(request)-4)/2)
+		// A request that is lost is sent again.
+		_ = t.sendPart(netip.AddrPortFrom(key.from.Addr(), t.ownPort()+t.relayPortOffset), kindMissingParts, 0, 0, 1, request)
+	}
+	t.setRequestTimer(now)
+}
+
+// setRequestTimer sets the timer to the time of the next request. It is called with the
+// lock held.
+func (t *transport) setRequestTimer(now time.Time) {
+	if t.requestTimerSet {
+		return
+	}
+	var next time.Time
+	for _, message := range t.incomplete {
+		if dueAt := message.requestDueAt(); isResentByPart(message.kind) && (next.IsZero() || dueAt.Before(next)) {
+			next = dueAt
+		}
+	}
+	if next.IsZero() {
+		return
+	}
+	t.requestTimerSet = true
+	// A stopped process sends nothing more: the socket is closed by then.
+	time.AfterFunc(max(next.Sub(now), time.Millisecond), t.requestMissingParts)
+}
+
+// handleMissingParts sends the requested parts of a message again.
+func (t *transport) handleMissingParts(from netip.Addr, request []byte) {
+	const numberBytes = 4
+	if len(request) < numberBytes {
+		return
+	}
+	message, ok := t.retained.find(from, binary.BigEndian.Uint32(request))
+	if !ok {
+		return
+	}
+	count := partCount(message.payload)
+	indexes := request[numberBytes:]
+	for sent := 0; len(indexes) >= 2 && sent < maxPartsPerRequest; sent++ {
+		index := int(binary.BigEndian.Uint16(indexes))
+		indexes = indexes[2:]
+		if index >= count {
+			return
+		}
+		if err := t.sendPart(message.to, message.kind, message.number, index, count, partOf(message.payload, index)); err != nil {
+			return // The receiver requests the rest again.
+		}
+		t.countParts("link.parts_resent", 1)
+	}
+}
--- /dev/null
+++ b/internal/fabric/retransmission_test.go
@@ -0,0 +1,101 @@
+package fabric
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// receiveWithLoss calls the handlers for received messages like receiveMessages, but drops
+// datagrams at random.
+func receiveWithLoss(t *transport, lossRate float64, random *rand.Rand) {
+	buffer := make([]byte, receiveBufferBytes)
+	for {
+		n, from, err := t.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil && random.Float64() >= lossRate {
+			t.handleDatagram(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[:n])
+		}
+	}
+}
+
+// Guards against a replica that is not a voter again in time: its log comes in messages of
+// some hundred datagrams, and the loss of a few of them must cost a round trip, not the
+// message. Each message must be handled once.
+func TestLostPartsAreSentAgain(t *testing.T) {
+	for seed, lossRate := range []float64{0.002, 0.05, 0.3} {
+		receiver, err := openTransport(netip.MustParseAddr("127.77.3.1"), 0, 0)
+		require.NoError(t, err)
+		port := receiver.ownPort()
+		sender, err := openTransport(netip.MustParseAddr("127.77.3.2"), port, 0)
+		require.NoError(t, err)
+		received, resent := make(chan string, 16), atomic.Int64{}
+		registerHandler(receiver, kindConsensus, func(error) {}, func(_ netip.Addr, m *testMessage) { received <- m.Text })
+		sender.countParts = func(_ string, parts int) { resent.Add(int64(parts)) }
+		random := rand.New(rand.NewPCG(uint64(seed), 6))
+		go receiveWithLoss(receiver, lossRate, random)
+		go func() { _ = sender.receiveMessages() }()
+		const messages, size = 5, 300_000
+		for i := range messages {
+			text := strings.Repeat(string(rune('a'+i)), size)
+			require.NoError(t, sender.send(netip.MustParseAddr("127.77.3.1"), port, kindConsensus, testMessage{Text: text}))
+			select {
+			case got := <-received:
+				require.Equal(t, text, got)
+			case <-time.After(incompleteMessageTimeout):
+				t.Fatalf("loss rate %v: message %d not received", lossRate, i)
+			}
+		}
+		time.Sleep(3 * missingPartsDelay)
+		require.Empty(t, received, "a message was handled twice")
+		require.Less(t, resent.Load(), int64(messages*size/maxPartBytes), "more parts were sent again than at first")
+		require.NoError(t, errors.Join(receiver.conn.Close(), sender.conn.Close()))
+	}
+}
+
+// Guards against a message that consists of parts of two runs of a sender.
+func TestMessageNumbersOfTwoRunsDiffer(t *testing.T) {
+	numbers := map[uint32]bool{}
+	for range 3 {
+		run, err := openTransport(netip.MustParseAddr("127.77.3.3"), 0, 0)
+		require.NoError(t, err)
+		numbers[run.lastMessageNumber] = true
+		require.NoError(t, run.conn.Close())
+	}
+	require.Len(t, numbers, 3)
+}
+
+// Requests for parts that do not exist, or of messages to others, must be ignored.
+func TestBadRequestsForParts(t *testing.T) {
+	sender, err := openTransport(netip.MustParseAddr("127.77.3.4"), 0, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = sender.conn.Close() })
+	resent := 0
+	sender.countParts = func(_ string, parts int) { resent += parts }
+	receiver := netip.MustParseAddr("127.77.3.5")
+	require.NoError(t, sender.send(receiver, 9, kindConsensus, testMessage{Text: strings.Repeat("x", 3*maxPartBytes)}))
+	number := sender.lastMessageNumber
+	request := func(from netip.Addr, number uint32, indexes ...byte) {
+		data := []byte{byte(number >> 24), byte(number >> 16), byte(number >> 8), byte(number)}
+		for _, index := range indexes {
+			data = append(data, 0, index)
+		}
+		sender.handleMissingParts(from, data)
+	}
+	sender.handleMissingParts(receiver, []byte{1, 2})
+	request(receiver, number+1, 0)
+	request(unknownSender.Addr(), number, 0)
+	request(receiver, number, 99)
+	require.Zero(t, resent)
+	request(receiver, number, 0, 2)
+	require.Equal(t, 2, resent)
+}
--- a/internal/fabric/transport.go
+++ b/internal/fabric/transport.go
@@ -4,8 +4,10 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -21,6 +23,8 @@
 	kindFetchRequest
 	kindDesiredState
 	kindConsensus
+	// kindMissingParts requests parts of a message again. The transport handles it.
+	kindMissingParts
 	kindCount
 )
 
@@ -43,8 +47,9 @@
 )
 
 // transport sends and receives messages between processes over UDP. It splits
-// messages that exceed a datagram. It does not retransmit: if a part is lost, the
-// message is lost, and the protocols above it repeat what is still needed.
+// messages that exceed a datagram. Parts of messages between replicas are sent again on
+// request. Otherwise, if a part is lost, the message is lost, and the protocols above
+// repeat what is still needed.
 type transport struct {
 	conn *net.UDPConn
 	// relayPortOffset is added to the destination ports of messages.
@@ -53,7 +58,15 @@
 	// lastMessageNumber numbers the sent messages, so that the receiver can match
 	// their parts.
 	lastMessageNumber uint32
-	incomplete        map[messageKey]*incompleteMessage
+	retained          retainedMessages
+	// countParts adds to a counter of parts.
+	countParts func(counter string, parts int)
+
+	// mu guards the fields below.
+	mu              sync.Mutex
+	incomplete      map[messageKey]*incompleteMessage
+	completed       completedKeys
+	requestTimerSet bool
 }
 
 // messageKey identifies a message that arrives in several parts.
@@ -67,7 +80,13 @@
 	parts         [][]byte
 	missingParts  int
 	receivedBytes int
+	kind          datagramKind
 	firstPartAt   time.Time
+	lastPartAt    time.Time
+	// lastRequestAt is when missing parts were last requested, and requestInterval the
+	// time until the next request.
+	lastRequestAt   time.Time
+	requestInterval time.Duration
 }
 
 func openTransport(address netip.Addr, port, relayPortOffset uint16) (*transport, error) {
@@ -75,7 +94,24 @@
 	if err != nil {
 		return nil, fmt.Errorf("open message socket: %w", err)
 	}
-	return &transport{conn: conn, relayPortOffset: relayPortOffset, incomplete: map[messageKey]*incompleteMessage{}}, nil
+	t := &transport{
+		conn: conn, relayPortOffset: relayPortOffset, incomplete: map[messageKey]*incompleteMessage{}, countParts: func(string, int) {},
+		// The numbers of an earlier process at this address may still be in use at the
+		// receivers of its messages.
+		lastMessageNumber: rand.Uint32(), //nolint:gosec // Needs no secrecy.
+	}
+	t.handlers[kindMissingParts] = t.handleMissingParts
+	return t, nil
+}
+
+// ownPort returns the port on which this process listens. Processes that exchange
+// messages which are sent again by part listen on the same port.
+func (t *transport) ownPort() uint16 {
+	address, ok := t.conn.LocalAddr().(*net.UDPAddr)
+	if !ok {
+		return 0
+	}
+	return uint16(address.Port)
 }
 
 // send encodes a message and sends it. It returns an error if the socket buffer
@@ -89,27 +125,43 @@
 }
 
 func (t *transport) sendPayload(to netip.AddrPort, kind datagramKind, payload []byte) error {
-	count := max(1, (len(payload)+maxPartBytes-1)/maxPartBytes)
+	count := partCount(payload)
 	if count > maxPartsPerMessage {
 		return fmt.Errorf("message of %d bytes exceeds the limit of %d", len(payload), maxPartsPerMessage*maxPartBytes)
 	}
 	to = netip.AddrPortFrom(to.Addr(), to.Port()+t.relayPortOffset)
 	t.lastMessageNumber++
-	var buffer [partHeaderBytes + maxPartBytes]byte
+	number := t.lastMessageNumber
+	if count > 1 && isResentByPart(kind) {
+		t.retained.add(sentMessage{to: to, kind: kind, number: number, payload: payload, sentAt: time.Now()})
+	}
 	for i := range count {
-		part := payload[min(i*maxPartBytes, len(payload)):min((i+1)*maxPartBytes, len(payload))]
-		buffer[0] = byte(kind)
-		binary.BigEndian.PutUint32(buffer[1:], t.lastMessageNumber)
-		binary.BigEndian.PutUint16(buffer[5:], uint16(i))
-		binary.BigEndian.PutUint16(buffer[7:], uint16(count))
-		n := copy(buffer[partHeaderBytes:], part)
-		if _, err := t.conn.WriteToUDPAddrPort(buffer[:partHeaderBytes+n], to); err != nil {
+		if err := t.sendPart(to, kind, number, i, count, partOf(payload, i)); err != nil {
 			return fmt.Errorf("send message: %w", err)
 		}
 	}
 	return nil
 }
 
+// partCount returns the number of datagrams that carry a payload.
+func partCount(payload []byte) int { return max(1, (len(payload)+maxPartBytes-1)/maxPartBytes) }
+
+func partOf(payload []byte, index int) []byte {
+	return payload[min(index*maxPartBytes, len(payload)):min((index+1)*maxPartBytes, len(payload))]
+}
+
+// sendPart sends one datagram.
+func (t *transport) sendPart(to netip.AddrPort, kind datagramKind, number uint32, index, count int, part []byte) error {
+	var buffer [partHeaderBytes + maxPartBytes]byte
+	buffer[0] = byte(kind)
+	binary.BigEndian.PutUint32(buffer[1:], number)
+	binary.BigEndian.PutUint16(buffer[5:], uint16(index))
+	binary.BigEndian.PutUint16(buffer[7:], uint16(count))
+	n := copy(buffer[partHeaderBytes:], part)
+	_, err := t.conn.WriteToUDPAddrPort(buffer[:partHeaderBytes+n], to)
+	return err
+}
+
 // receiveMessages calls the handlers for received messages until the socket is
 // closed. Handlers must not retain the payload.
 func (t *transport) receiveMessages() error {
@@ -141,7 +193,7 @@
 	}
 	payload := datagram[partHeaderBytes:]
 	if count > 1 {
-		if payload = t.addPart(messageKey{from: from, number: number}, index, count, payload); payload == nil {
+		if payload = t.addPart(messageKey{from: from, number: number}, kind, index, count, payload); payload == nil {
 			return
 		}
 	}
@@ -150,24 +202,34 @@
 
 // addPart stores one part of a message. It returns the message once all parts
 // have arrived, and nil before.
-func (t *transport) addPart(key messageKey, index, count int, part []byte) []byte {
+func (t *transport) addPart(key messageKey, kind datagramKind, index, count int, part []byte) []byte {
 	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.completed.keys[key] {
+		return nil
+	}
 	pending := t.incomplete[key]
 	if pending == nil {
 		t.evictIncomplete(now)
-		pending = &incompleteMessage{parts: make([][]byte, count), missingParts: count, firstPartAt: now}
+		pending = &incompleteMessage{parts: make([][]byte, count), missingParts: count, kind: kind, firstPartAt: now}
 		t.incomplete[key] = pending
 	}
 	if len(pending.parts) != count || pending.parts[index] != nil {
 		return nil
 	}
+	pending.lastPartAt = now
 	pending.parts[index] = append([]byte{}, part...)
 	pending.missingParts--
 	pending.receivedBytes += len(part)
 	if pending.missingParts > 0 {
+		t.setRequestTimer(now)
 		return nil
 	}
 	delete(t.incomplete, key)
+	if isResentByPart(kind) {
+		t.completed.add(key)
+	}
 	message := make([]byte, 0, pending.receivedBytes)
 	for _, p := range pending.parts {
 		message = append(message, p...)
