fabric: agents keep flows for their largest age

Cause: agents do not get the desired state and forgot flows after a constant 20 s. After that they deny a flow without asking their upstream, also as an agent that has run for longer than 20 s, and the balancer resets it.

Change: max_flow_s of the settings bounds the idle time instead, 5 minutes if the platform sets none. An agent that is started beside a running upstream is undetermined for that long instead of 21 s; its balancers then ask the upstream with a packet.

--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -20,9 +20,9 @@
 )
 
 const (
-	// agentFlowIdleTimeout is the time without packets after which an agent evicts a
-	// flow. It must exceed the usual idle timeout of a desired state.
-	agentFlowIdleTimeout = 20 * time.Second
+	// defaultMaxFlowAge applies if the platform sets no limit. An agent that keeps a flow for
+	// too long wastes some memory; one that forgets it too early lets it be reset.
+	defaultMaxFlowAge = 5 * time.Minute
 	// maxAgentFlows bounds the flow table. An upstream has some thousands of flows.
 	maxAgentFlows = 20_000
 	// firstCheckInWait is how long an agent waits for a check-in before it probes the
@@ -61,9 +61,7 @@
 	}
 	a := &Agent{
 		packetProcessor: packetProcessor{node: shared}, packetConn: packetConn, outboundConn: outboundConn, actionCounters: newActionCounters(deps.Registry),
-		core: steering.NewAgent(steering.AgentConfig{
-			Service: cfg.Service, CheckInInterval: cfg.CheckInInterval, IdleTimeout: agentFlowIdleTimeout, MaxFlows: maxAgentFlows, StartedAt: time.Now(),
-		}),
+		core: steering.NewAgent(newAgentConfig(&cfg, time.Now())),
 	}
 	shared.onTimer = func(now time.Time) {
 		a.runDecision(now, func(out *[]steering.Action) { a.core.Tick(now, out) })
@@ -78,6 +76,19 @@
 	return a, nil
 }
 
+// newAgentConfig returns the settings of the decisions of an agent. Agents do not get the
+// desired state, so that they keep an idle flow for as long as any idle timeout may ask:
+// the largest age of a flow.
+func newAgentConfig(cfg *Config, startedAt time.Time) steering.AgentConfig {
+	maxFlowAge := cfg.MaxFlowAge
+	if maxFlowAge <= 0 {
+		maxFlowAge = defaultMaxFlowAge
+	}
+	return steering.AgentConfig{
+		Service: cfg.Service, CheckInInterval: cfg.CheckInInterval, IdleTimeout: maxFlowAge, MaxFlows: maxAgentFlows, StartedAt: startedAt,
+	}
+}
+
 // Run processes packets until the context ends. Flows outlive the process: the
 // next agent process adds them to its table when it receives their packets.
 func (a *Agent) Run(ctx context.Context) error {
--- a/internal/fabric/config.go
+++ b/internal/fabric/config.go
@@ -59,6 +59,9 @@
 	// LinkBitsPerSecond is the rate of the VM's network link.
 	LinkBitsPerSecond float64
 	CheckInInterval   time.Duration
+	// MaxFlowAge is the age at which a flow may be discarded even if it is in use. Zero if
+	// the platform sets no limit.
+	MaxFlowAge time.Duration
 	// StopGracePeriod is the time from the request to stop until the platform kills
 	// the process.
 	StopGracePeriod time.Duration
