steering: a report that a flow is not found counts after the record was replaced

The balancer replaces its record, and a FlowNotFound of the agent for a flow from before is ignored, because the pointers of the two records differ. The caller waits for its deadline. Agents are now compared by address.

TestFlowNotFoundAfterTheRecordWasReplaced fails before.

--- a/internal/steering/balancer_test.go
+++ b/internal/steering/balancer_test.go
@@ -295,6 +295,20 @@
 	require.Equal(t, agentAddress(2), b.handlePacket(callerPacket(1, 30))[0].To)
 }
 
+// Guards against a flow that waits for its caller's deadline: its upstream has crashed and
+// runs again, the balancer has the new record, and the agent reports that the flow is not
+// held.
+func TestFlowNotFoundAfterTheRecordWasReplaced(t *testing.T) {
+	upstream := newUpstream(1, orders, ownZone, view.Ready)
+	b := newBalancerHarness(t, upstream)
+	b.handlePacket(openingPacket(1))
+	b.handleMessage(1, steering.Message{Kind: steering.OpeningAccepted, Sequence: 5})
+	require.Equal(t, agentAddress(1), b.handlePacket(callerPacket(1, 10))[0].To)
+	upstream.Incarnation = 2
+	b.SetUpstreams([]steering.Upstream{upstream}, true)
+	require.NotEmpty(t, b.handleMessage(1, steering.Message{Kind: steering.FlowNotFound}), "no lookup of the holder")
+}
+
 // After all balancers and agents have restarted, every agent is undetermined. The
 // likely holders must be tried first, with the smallest buffered packet, and the
 // others only if the likely ones deny the flow or do not respond. Otherwise packets
--- a/internal/steering/holder_lookup.go
+++ b/internal/steering/holder_lookup.go
@@ -252,7 +252,7 @@
 func (b *Balancer) handleFlowNotFound(now time.Time, entry *flowEntry, upstream *upstreamState, message *Message, actions *[]Action) {
 	switch entry.state {
 	case stateCandidatesTried:
-		isSender := func(other *upstreamState) bool { return other == upstream }
+		isSender := func(other *upstreamState) bool { return other.isAtAgentOf(upstream) }
 		entry.lookup.currentCandidates = slices.DeleteFunc(entry.lookup.currentCandidates, isSender)
 		entry.lookup.timedOutCandidates = slices.DeleteFunc(entry.lookup.timedOutCandidates, isSender)
 		if len(entry.lookup.currentCandidates) == 0 && !b.tryDeferredCandidates(now, entry, actions) {
@@ -260,9 +260,16 @@
 			b.startBatch(now, actions)
 		}
 	case stateHolderKnown:
-		if entry.upstream == upstream {
+		// The record of the upstream may have been replaced since, because it restarted.
+		if entry.upstream.isAtAgentOf(upstream) {
 			b.startLookup(now, entry, &Packet{Flow: entry.key, Ack: message.Ack}, nil, actions)
 		}
 	case stateOpeningUnconfirmed, stateOpeningQueued, stateLookupPending, stateHolderNotFound:
 	}
 }
+
+// isAtAgentOf reports whether two upstreams, which may be records of different times, are
+// at the same agent.
+func (u *upstreamState) isAtAgentOf(other *upstreamState) bool {
+	return u.Address.Addr() == other.Address.Addr()
+}
