consensus: schedules of membership; a silent leader is replaced sooner

Its successor in the lead waited all of ReplaceVoterAfter from its own election on, so that the dead voter still had its vote catch_up_s after the removal. Now the silence counts from the last message of the previous leader. An even number of voters also grows while one of them does not respond, since it then needs no larger majority.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -60,11 +60,13 @@
 	lastIncarnation           vm.Incarnation
 	// targetVoters, if above zero, lets new replicas join. The first initialVoters
 	// replicas then bootstrap the cluster.
-	targetVoters     int
-	maxVoters        int
-	initialVoters    int
-	lastReadID       uint64
-	snapshotInstalls int
+	targetVoters int
+	maxVoters    int
+	// replaceVoterAfter is four election timeouts if it is zero.
+	replaceVoterAfter time.Duration
+	initialVoters     int
+	lastReadID        uint64
+	snapshotInstalls  int
 }
 
 func newCluster(t *testing.T, count int, seed uint64) *cluster {
@@ -93,6 +95,9 @@
 	options.ElectionTimeout, options.HeartbeatInterval, options.MaxBatchBytes, options.MaxInflightBatches = electionTimeout, heartbeatInterval, 600, 3
 	options.TargetVoters, options.ReplaceVoterAfter, options.NoBootstrap = c.targetVoters, 4*electionTimeout, replica.noBootstrap
 	options.MaxVoters = c.maxVoters
+	if c.replaceVoterAfter > 0 {
+		options.ReplaceVoterAfter = c.replaceVoterAfter
+	}
 	restored := replica.disk
 	restored.Entries = slices.Clone(replica.disk.Entries)
 	core, err := consensus.New(options, restored, c.now, rand.New(rand.NewPCG(c.random.Uint64(), 2)))
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -30,10 +30,13 @@
 	// outputHardState is the hard state as of the last Output.
 	outputHardState HardState
 
-	role              Role
-	leader            ReplicaID
-	electionDeadline  time.Time
+	role             Role
+	leader           ReplicaID
+	electionDeadline time.Time
+	// lastLeaderContact is when the last message of a leader arrived, and previousLeader its
+	// sender.
 	lastLeaderContact time.Time
+	previousLeader    ReplicaID
 	votesGranted      map[ReplicaID]bool
 	// nextJoinRequests is the earliest time at which join requests are sent again.
 	nextJoinRequests time.Time
--- a/internal/consensus/follower.go
+++ b/internal/consensus/follower.go
@@ -14,7 +14,7 @@
 	}
 	c.becomeFollower(now, m.Term, m.From)
 	c.hardState.ClusterID = m.ClusterID
-	c.lastLeaderContact = now
+	c.lastLeaderContact, c.previousLeader = now, m.From
 	c.resetElectionDeadline(now)
 	c.nextJoinRequests = now.Add(c.joinInterval())
 	if m.InstallSnapshot != nil {
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -63,6 +63,11 @@
 	}
 	c.appendNewEntry(Entry{Kind: KindNoOp})
 	c.reconcileProgress(now)
+	// The previous leader has been silent since before the election. If its VM was removed,
+	// it must not get all of ReplaceVoterAfter again.
+	if p, ok := c.leaderState.progress[c.previousLeader]; ok {
+		p.lastResponseAt = c.lastLeaderContact
+	}
 }
 
 // reconcileProgress adds and removes the progress of followers, so that there is one
--- a/internal/consensus/voters.go
+++ b/internal/consensus/voters.go
@@ -35,6 +35,8 @@
 //     a learner if TargetVoters others remain.
 //   - A learner that is eligible for promotion becomes a voter while there are fewer than
 //     TargetVoters, or in place of a voter that is about to stop.
+//   - An even number of voters grows by an eligible learner, up to MaxVoters. It needs a
+//     larger majority than the odd number below it and tolerates no more losses.
 //   - A voter that has not responded for ReplaceVoterAfter becomes a learner if an
 //     eligible learner can take its place.
 //   - While all voters respond, eligible learners become voters in pairs, up to
@@ -51,26 +53,18 @@
 	switch {
 	case isLeaving && len(current.Voters) > target:
 		return current.withLearner(leaving), true
-	case isLeaving:
+	case isLeaving && len(eligible) > 0:
+		return promoteFirst(current, eligible)
+	case len(current.Voters)%2 == 0 && len(eligible) > 0 && len(current.Voters) < c.options.MaxVoters:
 		return promoteFirst(current, eligible)
 	case isUnresponsive && (len(current.Voters) > target || len(eligible) > 0):
 		return current.withLearner(unresponsive), true
-	case c.allVotersRespond(now, current) && canGrow(len(current.Voters), len(eligible), c.options.MaxVoters):
+	case len(eligible) > 1 && len(current.Voters)+1 < c.options.MaxVoters && c.allVotersRespond(now, current):
 		return promoteFirst(current, eligible)
 	}
 	return Configuration{}, false
 }
 
-// canGrow reports whether a further voter leads to a larger odd number of voters. An
-// even number tolerates no more losses than the odd number below it.
-func canGrow(voters, eligible, maxVoters int) bool {
-	missing := 1
-	if voters%2 == 1 {
-		missing = 2
-	}
-	return eligible >= missing && voters+missing <= maxVoters
-}
-
 // promoteFirst makes the first of the given learners a voter. It returns false if there
 // is none.
 func promoteFirst(current Configuration, learners []ReplicaID) (Configuration, bool) {
