--- a/internal/logstore/crash_points_test.go
+++ b/internal/logstore/crash_points_test.go
@@ -186,7 +186,7 @@
 		out := consensus.Output{Entries: []consensus.Entry{entry}, HardState: &hardState}
 		require.NoError(t, store.Save(&out))
 		want := afterSave(restored, out)
-		store, restored, err = logstore.Open(folder.AfterPowerLoss(folder.Operations(), nil))
+		_, restored, err = logstore.Open(folder.AfterPowerLoss(folder.Operations(), nil))
 		require.NoError(t, err)
 		requireSameState(t, want, restored)
 		store, restored, err = logstore.Open(folder)
