consensus, fabric: a former leader keeps its vote; handing over fits the grace period

Found by reading the diff: a leader that is elected twice in a row counted the silence of the one that led before it from long ago, and took the vote of a voter whose first response was late. TestFormerLeaderKeepsItsVote fails before.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -33,8 +33,8 @@
 	role             Role
 	leader           ReplicaID
 	electionDeadline time.Time
-	// lastLeaderContact is when the last message of a leader arrived, and previousLeader its
-	// sender.
+	// lastLeaderContact is when the last message of a leader arrived. previousLeader is its
+	// sender, unless this replica has led since.
 	lastLeaderContact time.Time
 	previousLeader    ReplicaID
 	votesGranted      map[ReplicaID]bool
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -68,6 +68,7 @@
 	if p, ok := c.leaderState.progress[c.previousLeader]; ok {
 		p.lastResponseAt = c.lastLeaderContact
 	}
+	c.previousLeader = ReplicaID{}
 }
 
 // reconcileProgress adds and removes the progress of followers, so that there is one
--- a/internal/consensus/voters_test.go
+++ b/internal/consensus/voters_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bramleyhold.example/bramleyhold/internal/consensus"
+	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
 // catchUpTime is the time after which a replica that has started no longer counts as lost.
@@ -130,6 +131,36 @@
 	}
 }
 
+// Guards against a voter that loses its vote although it responds: it led once, and the
+// leader since then is elected a second time in a row.
+func TestFormerLeaderKeepsItsVote(t *testing.T) {
+	c := newClusterWithSuccessors(t, 1, 15)
+	c.lossRate = 0
+	former := c.waitForLeader()
+	c.stepUntil("a transfer", func() bool {
+		former.core.TransferLeadership(c.now)
+		c.processOutputs(former)
+		return former.core.Role() != consensus.Leader
+	})
+	leader := c.waitForLeader()
+	c.stepFor(2 * catchUpTime)
+	voters := c.leaderVoters()
+	c.isolated[leader.id] = true
+	c.stepUntil("the leader steps down", func() bool { return leader.core.Role() != consensus.Leader })
+	c.isolated[leader.id] = false
+	// The responses are late, but not by ReplaceVoterAfter.
+	c.blockedLinks[[2]vm.ID{former.id, leader.id}] = true
+	leader.core.Receive(c.now, consensus.Message{
+		From: former.core.Self(), To: leader.core.Self(), ClusterID: leader.disk.HardState.ClusterID, Term: leader.core.Term(), TimeoutNow: &consensus.TimeoutNow{},
+	})
+	c.processOutputs(leader)
+	for range int(electionTimeout / tickInterval) {
+		c.step()
+		require.Equal(t, voters, leader.core.Configuration().Voters)
+	}
+	require.Equal(t, consensus.Leader, leader.core.Role())
+}
+
 // Requests to leave that arrive at a replica which does not lead, or from one that is not
 // in the configuration, must change nothing.
 func TestStrayLeaveRequests(t *testing.T) {
--- a/internal/fabric/control_replica.go
+++ b/internal/fabric/control_replica.go
@@ -54,6 +54,8 @@
 	if raft == nil {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, c.handOverTimeout())
+	defer cancel()
 	transferCtx, cancelTransfer := context.WithTimeout(ctx, leadershipTransferTimeout)
 	raft.TransferLeadership(transferCtx)
 	cancelTransfer()
@@ -64,6 +66,16 @@
 	}
 }
 
+// handOverTimeout returns how long a stopping replica may take to hand over. The rest of
+// StopGracePeriod is for the end of the process.
+func (c *Control) handOverTimeout() time.Duration {
+	longest := leadershipTransferTimeout + leaveTimeout
+	if half := c.cfg.StopGracePeriod / 2; half > 0 {
+		return min(half, longest)
+	}
+	return longest
+}
+
 // runReplica runs the replica until the context ends, and opens it again after a
 // failure such as a failed disk write. That is safe, because everything that the
 // replica has acknowledged is on the disk.
--- a/internal/fabric/control_test.go
+++ b/internal/fabric/control_test.go
@@ -33,6 +33,17 @@
 	}
 }
 
+// Guards against a process that is killed while it hands over: half of the grace period
+// must remain.
+func TestHandOverTimeout(t *testing.T) {
+	for grace, want := range map[time.Duration]time.Duration{
+		6 * time.Second: 3 * time.Second, 2 * time.Second: time.Second, time.Minute: 3 * time.Second, 0: 3 * time.Second,
+	} {
+		control := &Control{node: &node{cfg: Config{StopGracePeriod: grace}}}
+		require.Equal(t, want, control.handOverTimeout(), "grace period %s", grace)
+	}
+}
+
 // Guards against a process that names itself as the leader while its disk is full, and
 // against a replica that knows no control process to join after its disk has room again.
 func TestReplicaWithFullDisk(t *testing.T) {
