--- a/internal/fabric/retransmission.go
+++ b/internal/fabric/retransmission.go
@@ -23,6 +23,8 @@
 	// maxPartsPerRequest bounds the parts that are sent again at once, so that they do not
 	// fill the receive buffer as the first transmission may have.
 	maxPartsPerRequest = 64
+	// messageNumberBytes is the size of the message number at the start of a request.
+	messageNumberBytes = 4
 	// maxRetainedBytes bounds the sent messages that are kept. It has room for the batches
 	// in flight to all replicas.
 	maxRetainedBytes = 4 << 20
@@ -99,7 +101,7 @@
 func (m *incompleteMessage) missingPartsRequest(number uint32) []byte {
 	request := binary.BigEndian.AppendUint32(nil, number)
 	for i, part := range m.parts {
-		if part == nil && len(request) < 4+2*maxPartsPerRequest {
+		if part == nil && len(request) < messageNumberBytes+2*maxPartsPerRequest {
 			request = binary.BigEndian.AppendUint16(request, uint16(i))
 		}
 	}
@@ -139,7 +141,7 @@
 		}
 		message.lastRequestAt = now
 		request := message.missingPartsRequest(key.number)
-		t.countParts("link.parts_requested", (len(request)-4)/2)
+		t.countParts("link.parts_requested", (len(request)-messageNumberBytes)/2)
 		// A request that is lost is sent again.
 		_ = t.sendPart(netip.AddrPortFrom(key.from.Addr(), t.ownPort()+t.relayPortOffset), kindMissingParts, 0, 0, 1, request)
 	}
@@ -168,8 +170,7 @@
 
 // handleMissingParts sends the requested parts of a message again.
 func (t *transport) handleMissingParts(from netip.Addr, request []byte) {
-	const numberBytes = 4
-	if len(request) < numberBytes {
+	if len(request) < messageNumberBytes {
 		return
 	}
 	message, ok := t.retained.find(from, binary.BigEndian.Uint32(request))
@@ -177,7 +178,7 @@
 		return
 	}
 	count := partCount(message.payload)
-	indexes := request[numberBytes:]
+	indexes := request[messageNumberBytes:]
 	for sent := 0; len(indexes) >= 2 && sent < maxPartsPerRequest; sent++ {
 		index := int(binary.BigEndian.Uint16(indexes))
 		indexes = indexes[2:]
