loopback: addresses that no connection takes before a server listens

TestPlannedStopOfTheLeader: listen tcp 127.0.0.1:36853: bind: address already in use.

Cause: tests and the development fleet looked for a free port of 127.0.0.1, closed it and listened on it later. The port lies in the range from which the system takes the ports of outgoing connections, and each connection on loopback starts at 127.0.0.1: one of any test that runs at the same time, or a replica's own connection to a peer that is not listening yet, takes it. Three copies of the function had the fault.

Change: internal/loopback gives each process a loopback host of its own, at which no connection starts, and each call another port.

--- a/internal/control/retired_vms_test.go
+++ b/internal/control/retired_vms_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"testing"
 	"time"
 
@@ -17,6 +16,7 @@
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/lifecycle"
 	"bramleyhold.example/bramleyhold/internal/logstore"
+	"bramleyhold.example/bramleyhold/internal/loopback"
 	"bramleyhold.example/bramleyhold/internal/telemetry"
 	"bramleyhold.example/bramleyhold/internal/view"
 	"bramleyhold.example/bramleyhold/internal/vm"
@@ -31,12 +31,10 @@
 	require.NoError(t, err)
 	log, err := telemetry.NewLogger(io.Discard, "test", "c1", "info")
 	require.NoError(t, err)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	require.NoError(t, err)
-	address := listener.Addr().String()
-	require.NoError(t, listener.Close())
 	s, err := New(Options{
-		VM: "c1", Listen: address, InitialPeers: map[vm.ID]string{"c1": address}, Files: files, Members: members, Log: log,
+		VM: "c1", Listen: address.String(), InitialPeers: map[vm.ID]string{"c1": address.String()}, Files: files, Members: members, Log: log,
 		Registry: metrics.NewRegistry(), ElectionTimeout: 300 * time.Millisecond, HeartbeatInterval: 30 * time.Millisecond,
 	})
 	require.NoError(t, err)
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -21,6 +20,7 @@
 	"bramleyhold.example/bramleyhold/internal/controlapi"
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/logstore"
+	"bramleyhold.example/bramleyhold/internal/loopback"
 	"bramleyhold.example/bramleyhold/internal/rpc"
 	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/telemetry"
@@ -50,7 +50,9 @@
 	}
 	for i := range count {
 		id := vm.ID(fmt.Sprintf("c%d", i+1))
-		c.addresses[id], c.dataFolders[id] = freeAddress(t), t.TempDir()
+		address, err := loopback.FreeAddress()
+		require.NoError(t, err)
+		c.addresses[id], c.dataFolders[id] = address.String(), t.TempDir()
 	}
 	t.Cleanup(func() {
 		for _, stop := range c.stopFuncs {
@@ -60,13 +62,6 @@
 	return c
 }
 
-func freeAddress(t testing.TB) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 func (c *testCluster) start(ids ...vm.ID) {
 	c.t.Helper()
 	if len(ids) == 0 {
--- a/internal/fleet/separate_processes_test.go
+++ b/internal/fleet/separate_processes_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bramleyhold.example/bramleyhold/internal/loopback"
 	"bramleyhold.example/bramleyhold/internal/standin"
 	"bramleyhold.example/bramleyhold/internal/tun"
 )
@@ -47,7 +48,7 @@
 }
 
 func (p *testPrograms) issueKeys(role, id string) string {
-	p.runCtl("keys", "issue", p.keyFolder, "--role", role, "--vm", id, "--address", "127.0.0.1")
+	p.runCtl("keys", "issue", p.keyFolder, "--role", role, "--vm", id, "--address", loopback.Host.String())
 	return filepath.Join(p.keyFolder, "vm", id)
 }
 
@@ -164,9 +165,9 @@
 
 func freeLoopbackAddress(t *testing.T) string {
 	t.Helper()
-	address, err := freeTCPAddress()
+	address, err := loopback.FreeAddress()
 	require.NoError(t, err)
-	return address
+	return address.String()
 }
 
 // startServerOnceAddressExists starts a stand-in server. It retries until the agent
--- a/internal/fleet/start_roles.go
+++ b/internal/fleet/start_roles.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/netip"
 	"path/filepath"
 	"time"
@@ -13,6 +12,7 @@
 
 	"bramleyhold.example/bramleyhold/internal/control"
 	"bramleyhold.example/bramleyhold/internal/logstore"
+	"bramleyhold.example/bramleyhold/internal/loopback"
 	"bramleyhold.example/bramleyhold/internal/node"
 	"bramleyhold.example/bramleyhold/internal/probe"
 	"bramleyhold.example/bramleyhold/internal/service"
@@ -25,12 +25,12 @@
 func (f *Fleet) startControl(ctx context.Context) error {
 	addresses := map[vm.ID]string{}
 	for i := range f.Plan.Control {
-		address, err := freeTCPAddress()
+		address, err := loopback.FreeAddress()
 		if err != nil {
 			return err
 		}
-		addresses[controlName(i)] = address
-		f.controlAddresses = append(f.controlAddresses, address)
+		addresses[controlName(i)] = address.String()
+		f.controlAddresses = append(f.controlAddresses, address.String())
 	}
 	for i := range f.Plan.Control {
 		if err := f.startControlReplica(ctx, i, addresses); err != nil {
@@ -40,16 +40,6 @@
 	return nil
 }
 
-// freeTCPAddress returns a loopback address whose port is unused at the time of the
-// call.
-func freeTCPAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
-	}
-	return listener.Addr().String(), listener.Close()
-}
-
 func (f *Fleet) startControlReplica(ctx context.Context, number int, peers map[vm.ID]string) error {
 	id := controlName(number)
 	files, err := logstore.OpenFolder(filepath.Join(f.Plan.Folder, string(id)))
