consensus: only initial peers count towards the bootstrap

What callers saw: nothing yet.

Cause: bootstrap compares the responses with the number of initial peers, and counted the response that a process runs no replica from any process. Join requests also go to control processes that are no peers. Two of these responses let a replica begin alone; with more of them than peers the numbers never met and there was no bootstrap at all.

Change: peersWithoutReplica holds initial peers only.

Evidence: TestBootstrapIgnoresOtherProcessesWithoutReplica failed before (configuration [c0/1] without the response of any peer) and passes now, with all tests of the package that concern the bootstrap.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -43,7 +43,7 @@
 	// peersWithoutCluster maps each replica that responded that it belongs to no
 	// cluster to the time of its response.
 	peersWithoutCluster map[ReplicaID]time.Time
-	// peersWithoutReplica contains the VMs that responded that they run no replica.
+	// peersWithoutReplica contains the initial peers that responded that they run no replica.
 	peersWithoutReplica map[vm.ID]bool
 	// joinPeers are the VMs that receive join requests besides the peers of the
 	// bootstrap.
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -53,8 +53,11 @@
 		return
 	}
 	if m.JoinResponse.NoReplica {
-		c.peersWithoutReplica[m.From.VM] = true
-		c.bootstrap(now)
+		// Join requests also go to processes that are no initial peers.
+		if slices.Contains(c.options.Peers, m.From.VM) {
+			c.peersWithoutReplica[m.From.VM] = true
+			c.bootstrap(now)
+		}
 		return
 	}
 	if m.JoinResponse.NoCluster {
--- a/internal/consensus/open_membership_test.go
+++ b/internal/consensus/open_membership_test.go
@@ -158,3 +158,28 @@
 	})
 	require.Empty(t, core.Configuration().Voters, "a replica that has lost its disk must not bootstrap a cluster")
 }
+
+// Guards against a log that begins with fewer voters than the initial peers that have a
+// replica: processes without a replica that are no initial peers took their place. A
+// change that the missing voters do not have is lost with the disks of the others. With
+// all peers running, such processes prevented the bootstrap.
+func TestBootstrapIgnoresOtherProcessesWithoutReplica(t *testing.T) {
+	peers := []vm.ID{"c0", "c1", "c2"}
+	others := []vm.ID{"c3", "c4", "c5"}
+	now := time.Unix(0, 0)
+	options := consensus.DefaultOptions(consensus.ReplicaID{VM: "c0", Incarnation: 1}, peers)
+	options.TargetVoters = len(peers)
+	core, err := consensus.New(options, consensus.RestoredState{}, now, rand.New(rand.NewPCG(1, 1)))
+	require.NoError(t, err)
+	respond := func(from vm.ID, response consensus.JoinResponse) {
+		core.Receive(now, consensus.Message{From: consensus.ReplicaID{VM: from, Incarnation: 1}, To: core.Self(), JoinResponse: &response})
+	}
+	for _, other := range others {
+		respond(other, consensus.JoinResponse{NoReplica: true})
+		require.Empty(t, core.Configuration().Voters, "no peer has responded")
+	}
+	respond("c1", consensus.JoinResponse{NoCluster: true})
+	require.Empty(t, core.Configuration().Voters, "a peer has not responded")
+	respond("c2", consensus.JoinResponse{NoCluster: true})
+	require.Len(t, core.Configuration().Voters, len(peers))
+}
