steering, platform: tags of services have 48 bits

What callers could see: an opening that runs at another service (ROUTE).

Cause: the tag was sized by the room in the pad of a packet, not by the number of services.

Change: 48 bits. The lowest 16 stay where earlier builds write and read them, the others use the echo field, which only the system reads; the agent clears both before the upstream gets the packet. A tag without high bits is one of an earlier build and compared by its 16 bits. TestForwardingHeaders demanded that the echo field is not touched on the way to the agent; it now demands that the tag arrives whole and that the upstream gets the packet as the caller sent it, and the fuzz test that the echo field is zero there.

Evidence: TestServicesWithEqualShortTags failed with the 16-bit tag (the opening was delivered) and passes now; TestShortServiceTags shows that packets of earlier builds are taken.

--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -96,7 +96,7 @@
 // Agent steers packets for the process beside one upstream.
 type Agent struct {
 	cfg        AgentConfig
-	serviceTag uint16
+	serviceTag ServiceTag
 	upstream   CheckIn
 	// checkedIn is set by the first check-in that this process receives.
 	checkedIn bool
@@ -191,7 +191,7 @@
 	if cfg.CheckInInterval == 0 {
 		cfg.CheckInInterval = defaultCheckInInterval
 	}
-	return &Agent{cfg: cfg, serviceTag: ServiceTag(cfg.Service), flows: map[flow.Key]*heldFlow{}, unconfirmedFlows: map[flow.Key]unconfirmedFlow{}, returnedFlows: map[flow.Key]time.Time{}}
+	return &Agent{cfg: cfg, serviceTag: NewServiceTag(cfg.Service), flows: map[flow.Key]*heldFlow{}, unconfirmedFlows: map[flow.Key]unconfirmedFlow{}, returnedFlows: map[flow.Key]time.Time{}}
 }
 
 // Upstream returns the last check-in and whether there was one.
@@ -304,7 +304,7 @@
 
 // HandleBalancerPacket handles a packet of a caller that a balancer has forwarded.
 func (a *Agent) HandleBalancerPacket(now time.Time, packet *Packet, header ForwardingHeader, balancer netip.Addr, data []byte, actions *[]Action) {
-	if header.Service != a.serviceTag {
+	if !header.Service.matches(a.serviceTag) {
 		a.sendRejection(packet, balancer, OtherService, actions)
 		return
 	}
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"bramleyhold.example/bramleyhold/internal/flow"
-	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
@@ -45,7 +44,7 @@
 	// Service is the tag of the service that the balancer selected. An agent of another
 	// service does not deliver the packet. This prevents misdelivery after the address
 	// of an upstream was given to another service.
-	Service uint16
+	Service ServiceTag
 	// LastAttempt is set if no other upstream remains for the opening, or if this is
 	// attempt number maxPlacementAttempts or a later one. The agent then does not reject
 	// the opening because all slots are in use, or because the upstream did not answer
@@ -165,8 +164,3 @@
 	// one.
 	Attempt int
 }
-
-// ServiceTag returns the tag that identifies a service in forwarding headers.
-func ServiceTag(name service.Name) uint16 {
-	return uint16(hashName(string(name)))
-}
--- a/internal/steering/placement.go
+++ b/internal/steering/placement.go
@@ -62,7 +62,7 @@
 // has recorded.
 type upstreamState struct {
 	Upstream
-	serviceTag uint16
+	serviceTag ServiceTag
 	// requestsInProgress and openFlows come from the last message of the agent,
 	// received at reportedAt.
 	requestsInProgress, openFlows int
@@ -110,7 +110,7 @@
 		address := listed.Address.Addr()
 		upstream := b.upstreams[address]
 		if upstream == nil || upstream.Incarnation != listed.Incarnation || upstream.VM != listed.VM || upstream.Service != listed.Service {
-			upstream = &upstreamState{serviceTag: ServiceTag(listed.Service)}
+			upstream = &upstreamState{serviceTag: NewServiceTag(listed.Service)}
 		}
 		upstream.Upstream = listed
 		upstreams[address] = upstream
