fabric: parts of desired states are sent again

What callers could see: balancers that route by an older desired state for longer than the time that a change may take (CONFIG), after a change of a large state.

One that does not fit into the receive buffer did not arrive without any loss.

Change: what lost parts of messages between replicas have, desired states get too: the receiver requests the missing ones. No further copy is fetched while parts arrive.

Evidence: TestLargeDesiredStatesArrive failed before (loss rate 0: message 1 not received) and passes now with loss rates of 0, 0.002 and 0.05; TestRetainedMessages. TestLargeDesiredStateIsApplied runs the processes; it passes with and without the change on this machine, which has a core for each of them.

--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -315,6 +315,14 @@
 	return source.address, true
 }
 
+// PostponeFetch prevents another fetch for fetchTimeout.
+//
+// Load pattern: a desired state of many parts takes longer than fetchTimeout on a slow
+// link, or if parts are lost. Each further fetch would fill the link with another copy.
+func (c *Client) PostponeFetch(now time.Time) {
+	c.nextFetchAt = now.Add(fetchTimeout)
+}
+
 // SyncResult is the effect of a sync response.
 type SyncResult struct {
 	// Changed is set if the table has changed.
--- a/internal/fabric/node.go
+++ b/internal/fabric/node.go
@@ -68,6 +68,8 @@
 	if err != nil {
 		return nil, err
 	}
+	// Only control processes send messages that are sent again by part.
+	t.resendPort = cfg.ControlPort
 	now := time.Now()
 	n := &node{Dependencies: deps, cfg: cfg, transport: t, lastResponseAt: now}
 	t.countParts = func(name string, parts int) { metrics.GetOrRegisterCounter(name, n.Registry).Inc(int64(parts)) }
@@ -196,8 +198,13 @@
 	return result
 }
 
-// requestNewerDesired requests the desired state if control has a later version.
+// requestNewerDesired requests the desired state if control has a later version and none
+// is arriving.
 func (n *node) requestNewerDesired(now time.Time) {
+	if n.transport.isReceiving(kindDesiredState, now) {
+		n.directoryClient.PostponeFetch(now)
+		return
+	}
 	if from, due := n.directoryClient.FetchSource(now); due {
 		n.countSendError(n.transport.send(from, n.cfg.ControlPort, kindFetchRequest, &fetchRequest{AboveVersion: n.appliedVersion}))
 	}
--- a/internal/fabric/retransmission.go
+++ b/internal/fabric/retransmission.go
@@ -7,12 +7,13 @@
 	"time"
 )
 
-// Messages between replicas are sent again by part: the receiver requests the parts that
-// it lacks, and the sender keeps what it has sent for a while.
+// Messages between replicas and desired states are sent again by part: the receiver
+// requests the parts that it lacks, and the sender keeps what it has sent for a while.
 //
 // Load pattern: a replica with an empty disk gets a log or a snapshot of some hundred
-// datagrams at once. The loss of one of them used to lose the message, which was then
-// repeated as a whole after a heartbeat.
+// datagrams at once, and each balancer gets every change of the desired state as a whole.
+// The more datagrams a message has, the less likely all of them arrive, and those that do
+// not fit into the receive buffer never do.
 const (
 	// missingPartsDelay is the time without a further part after which the missing ones
 	// are requested. It exceeds the reordering of datagrams between zones.
@@ -25,16 +26,21 @@
 	maxPartsPerRequest = 64
 	// messageNumberBytes is the size of the message number at the start of a request.
 	messageNumberBytes = 4
-	// maxRetainedBytes bounds the sent messages that are kept. It has room for the batches
-	// in flight to all replicas.
+	// maxRetainedBytes bounds the sent messages that are kept, where a payload that went to
+	// several receivers counts once. It has room for the batches in flight to all replicas
+	// and for a desired state.
 	maxRetainedBytes = 4 << 20
+	// maxRetainedMessages has room for one message to each process of a large deployment.
+	maxRetainedMessages = 1024
 	// maxCompletedKeys bounds the keys of received messages that are kept, so that parts
 	// that arrive twice do not start a message again.
 	maxCompletedKeys = 256
 )
 
 // isResentByPart reports whether messages of a kind are sent again by part.
-func isResentByPart(kind datagramKind) bool { return kind == kindConsensus }
+func isResentByPart(kind datagramKind) bool {
+	return kind == kindConsensus || kind == kindDesiredState
+}
 
 // sentMessage is a message that may have to be sent again in part.
 type sentMessage struct {
@@ -49,22 +55,36 @@
 type retainedMessages struct {
 	mu       sync.Mutex
 	messages []sentMessage
-	bytes    int
+	// uses counts the messages of each payload, by its first byte.
+	uses  map[*byte]int
+	bytes int
 }
 
-// add keeps a message and drops those that are too old or beyond maxRetainedBytes.
+// add keeps a message and drops the oldest ones that are beyond the limits.
 func (r *retainedMessages) add(m sentMessage) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.uses == nil {
+		r.uses = map[*byte]int{}
+	}
+	if r.uses[&m.payload[0]]++; r.uses[&m.payload[0]] == 1 {
+		r.bytes += len(m.payload)
+	}
 	r.messages = append(r.messages, m)
-	r.bytes += len(m.payload)
-	dropped := 0
-	for dropped < len(r.messages)-1 &&
-		(r.bytes > maxRetainedBytes || m.sentAt.Sub(r.messages[dropped].sentAt) > incompleteMessageTimeout) {
-		r.bytes -= len(r.messages[dropped].payload)
-		dropped++
-	}
-	r.messages = append([]sentMessage(nil), r.messages[dropped:]...)
+	for len(r.messages) > 1 && (r.bytes > maxRetainedBytes || len(r.messages) > maxRetainedMessages ||
+		m.sentAt.Sub(r.messages[0].sentAt) > incompleteMessageTimeout) {
+		r.dropOldest()
+	}
+}
+
+func (r *retainedMessages) dropOldest() {
+	payload := r.messages[0].payload
+	if r.uses[&payload[0]]--; r.uses[&payload[0]] == 0 {
+		delete(r.uses, &payload[0])
+		r.bytes -= len(payload)
+	}
+	r.messages[0] = sentMessage{}
+	r.messages = r.messages[1:]
 }
 
 // find returns the message with a number that was sent to an address.
@@ -96,6 +116,15 @@
 	c.next = (c.next + 1) % maxCompletedKeys
 }
 
+// isExpired reports whether the message has waited too long for missing parts. One that is
+// sent again by part may take longer on a slow link, as long as parts arrive.
+func (m *incompleteMessage) isExpired(now time.Time) bool {
+	if isResentByPart(m.kind) {
+		return now.Sub(m.lastPartAt) > incompleteMessageTimeout
+	}
+	return now.Sub(m.firstPartAt) > incompleteMessageTimeout
+}
+
 // missingPartsRequest returns a request for missing parts of the message with a number.
 // The number is followed by the indexes of the parts.
 func (m *incompleteMessage) missingPartsRequest(number uint32) []byte {
@@ -117,6 +146,22 @@
 	return dueAt
 }
 
+// receivingTimeout is the time without a further part after which a message no longer
+// counts as arriving. It has room for some requests that are lost.
+const receivingTimeout = 4 * firstRequestInterval
+
+// isReceiving reports whether parts of a message of a kind are arriving.
+func (t *transport) isReceiving(kind datagramKind, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, message := range t.incomplete {
+		if message.kind == kind && now.Sub(message.lastPartAt) < receivingTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // requestMissingParts sends the requests that are due and sets the timer for the next
 // ones. It runs in the goroutine of the timer.
 func (t *transport) requestMissingParts() {
@@ -128,7 +173,7 @@
 		if !isResentByPart(message.kind) {
 			continue
 		}
-		if now.Sub(message.firstPartAt) > incompleteMessageTimeout {
+		if message.isExpired(now) {
 			delete(t.incomplete, key)
 			continue
 		}
@@ -143,7 +188,7 @@
 		request := message.missingPartsRequest(key.number)
 		t.countParts("link.parts_requested", (len(request)-messageNumberBytes)/2)
 		// A request that is lost is sent again.
-		_ = t.sendPart(netip.AddrPortFrom(key.from.Addr(), t.ownPort()+t.relayPortOffset), kindMissingParts, 0, 0, 1, request)
+		_ = t.sendPart(netip.AddrPortFrom(key.from.Addr(), t.resendPort+t.relayPortOffset), kindMissingParts, 0, 0, 1, request)
 	}
 	t.setRequestTimer(now)
 }
--- a/internal/fabric/retransmission_test.go
+++ b/internal/fabric/retransmission_test.go
@@ -28,38 +28,58 @@
 	}
 }
 
+func localPort(t *transport) uint16 {
+	return t.conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+}
+
 // Guards against a replica that is not a voter again in time: its log comes in messages of
 // some hundred datagrams, and the loss of a few of them must cost a round trip, not the
 // message. Each message must be handled once.
 func TestLostPartsAreSentAgain(t *testing.T) {
 	for seed, lossRate := range []float64{0.002, 0.05, 0.3} {
-		receiver, err := openTransport(netip.MustParseAddr("127.77.3.1"), 0, 0)
-		require.NoError(t, err)
-		port := receiver.ownPort()
-		sender, err := openTransport(netip.MustParseAddr("127.77.3.2"), port, 0)
-		require.NoError(t, err)
-		received, resent := make(chan string, 16), atomic.Int64{}
-		registerHandler(receiver, kindConsensus, func(error) {}, func(_ netip.Addr, m *testMessage) { received <- m.Text })
-		sender.countParts = func(_ string, parts int) { resent.Add(int64(parts)) }
-		random := rand.New(rand.NewPCG(uint64(seed), 6))
-		go receiveWithLoss(receiver, lossRate, random)
-		go func() { _ = sender.receiveMessages() }()
-		const messages, size = 5, 300_000
-		for i := range messages {
-			text := strings.Repeat(string(rune('a'+i)), size)
-			require.NoError(t, sender.send(netip.MustParseAddr("127.77.3.1"), port, kindConsensus, testMessage{Text: text}))
-			select {
-			case got := <-received:
-				require.Equal(t, text, got)
-			case <-time.After(incompleteMessageTimeout):
-				t.Fatalf("loss rate %v: message %d not received", lossRate, i)
-			}
+		checkLargeMessages(t, kindConsensus, 300_000, lossRate, uint64(seed))
+	}
+}
+
+// Guards against balancers that never apply a large desired state: one of 15,000 routes
+// takes some 700 datagrams, more than the receive buffer has room for.
+func TestLargeDesiredStatesArrive(t *testing.T) {
+	for seed, lossRate := range []float64{0, 0.002, 0.05} {
+		checkLargeMessages(t, kindDesiredState, 800_000, lossRate, uint64(seed))
+	}
+}
+
+// checkLargeMessages sends messages of the given kind and size one after the other, and
+// fails the test if one does not arrive in time or is handled twice.
+func checkLargeMessages(t *testing.T, kind datagramKind, size int, lossRate float64, seed uint64) {
+	t.Helper()
+	receiver, err := openTransport(netip.MustParseAddr("127.77.3.1"), 0, 0)
+	require.NoError(t, err)
+	sender, err := openTransport(netip.MustParseAddr("127.77.3.2"), 0, 0)
+	require.NoError(t, err)
+	port := localPort(receiver)
+	receiver.resendPort = localPort(sender)
+	received, resent := make(chan string, 16), atomic.Int64{}
+	registerHandler(receiver, kind, func(error) {}, func(_ netip.Addr, m *testMessage) { received <- m.Text })
+	sender.countParts = func(_ string, parts int) { resent.Add(int64(parts)) }
+	random := rand.New(rand.NewPCG(seed, 6))
+	go receiveWithLoss(receiver, lossRate, random)
+	go func() { _ = sender.receiveMessages() }()
+	const messages = 5
+	for i := range messages {
+		text := strings.Repeat(string(rune('a'+i)), size)
+		require.NoError(t, sender.send(netip.MustParseAddr("127.77.3.1"), port, kind, testMessage{Text: text}))
+		select {
+		case got := <-received:
+			require.Equal(t, text, got)
+		case <-time.After(incompleteMessageTimeout):
+			t.Fatalf("loss rate %v: message %d not received", lossRate, i)
 		}
-		time.Sleep(3 * missingPartsDelay)
-		require.Empty(t, received, "a message was handled twice")
-		require.Less(t, resent.Load(), int64(messages*size/maxPartBytes), "more parts were sent again than at first")
-		require.NoError(t, errors.Join(receiver.conn.Close(), sender.conn.Close()))
 	}
+	time.Sleep(3 * missingPartsDelay)
+	require.Empty(t, received, "a message was handled twice")
+	require.Less(t, resent.Load(), int64(messages*size/maxPartBytes), "more parts were sent again than at first")
+	require.NoError(t, errors.Join(receiver.conn.Close(), sender.conn.Close()))
 }
 
 // Guards against a message that consists of parts of two runs of a sender.
@@ -99,3 +119,32 @@
 	request(receiver, number, 0, 2)
 	require.Equal(t, 2, resent)
 }
+
+// Guards against a control process that keeps a large desired state once for each balancer
+// that it was sent to, and against one that keeps parts for ever.
+func TestRetainedMessages(t *testing.T) {
+	start := time.Unix(0, 0)
+	r := retainedMessages{}
+	shared := make([]byte, maxRetainedBytes/2)
+	add := func(number uint32, payload []byte, sentAt time.Time) {
+		r.add(sentMessage{to: netip.AddrPortFrom(unknownSender.Addr(), 1), number: number, payload: payload, sentAt: sentAt})
+	}
+	for number := range uint32(maxRetainedMessages) {
+		add(number, shared, start)
+	}
+	_, ok := r.find(unknownSender.Addr(), 0)
+	require.True(t, ok, "copies of one payload")
+	add(maxRetainedMessages, make([]byte, maxRetainedBytes/2), start)
+	_, ok = r.find(unknownSender.Addr(), 0)
+	require.False(t, ok, "more than maxRetainedMessages")
+	_, ok = r.find(unknownSender.Addr(), 1)
+	require.True(t, ok, "maxRetainedBytes in use")
+	add(maxRetainedMessages+1, []byte{1}, start)
+	_, ok = r.find(unknownSender.Addr(), maxRetainedMessages-1)
+	require.False(t, ok, "more than maxRetainedBytes")
+	_, ok = r.find(unknownSender.Addr(), maxRetainedMessages)
+	require.True(t, ok)
+	add(maxRetainedMessages+2, []byte{1}, start.Add(incompleteMessageTimeout+1))
+	require.Len(t, r.messages, 1)
+	require.Equal(t, 1, r.bytes)
+}
--- a/internal/fabric/transport.go
+++ b/internal/fabric/transport.go
@@ -47,13 +47,15 @@
 )
 
 // transport sends and receives messages between processes over UDP. It splits
-// messages that exceed a datagram. Parts of messages between replicas are sent again on
-// request. Otherwise, if a part is lost, the message is lost, and the protocols above
-// repeat what is still needed.
+// messages that exceed a datagram. Parts of messages between replicas and of desired
+// states are sent again on request. Otherwise, if a part is lost, the message is lost, and
+// the protocols above repeat what is still needed.
 type transport struct {
 	conn *net.UDPConn
 	// relayPortOffset is added to the destination ports of messages.
 	relayPortOffset uint16
+	// resendPort is the port of the processes that send parts again on request.
+	resendPort uint16
 	handlers        [kindCount]func(from netip.Addr, payload []byte)
 	// lastMessageNumber numbers the sent messages, so that the receiver can match
 	// their parts.
@@ -104,16 +106,6 @@
 	return t, nil
 }
 
-// ownPort returns the port on which this process listens. Processes that exchange
-// messages which are sent again by part listen on the same port.
-func (t *transport) ownPort() uint16 {
-	address, ok := t.conn.LocalAddr().(*net.UDPAddr)
-	if !ok {
-		return 0
-	}
-	return uint16(address.Port)
-}
-
 // send encodes a message and sends it. It returns an error if the socket buffer
 // is full or the address unreachable. The message then counts as lost.
 func (t *transport) send(to netip.Addr, port uint16, kind datagramKind, message any) error {
@@ -243,7 +235,7 @@
 	var oldest messageKey
 	var oldestAt time.Time
 	for key, message := range t.incomplete {
-		if now.Sub(message.firstPartAt) > incompleteMessageTimeout {
+		if message.isExpired(now) {
 			delete(t.incomplete, key)
 			continue
 		}
