--- a/internal/control/roles_test.go
+++ b/internal/control/roles_test.go
@@ -14,6 +14,7 @@
 	"bramleyhold.example/bramleyhold/internal/controlapi"
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/keys"
+	"bramleyhold.example/bramleyhold/internal/loopback"
 	"bramleyhold.example/bramleyhold/internal/rpc"
 	"bramleyhold.example/bramleyhold/internal/view"
 	"bramleyhold.example/bramleyhold/internal/vm"
@@ -28,7 +29,7 @@
 	require.NoError(t, keys.InitCluster(authority, time.Now()))
 	issueCertificate := func(role rpc.Role, id vm.ID) string {
 		issued, err := keys.IssueCertificate(authority, keys.CertificateRequest{
-			VM: id, Role: role, Addresses: []netip.Addr{netip.MustParseAddr("127.0.0.1")},
+			VM: id, Role: role, Addresses: []netip.Addr{loopback.Host},
 		}, time.Now())
 		require.NoError(t, err)
 		return issued.Folder
