control, platform: a desired state that is too large is refused at once

Cause: the leader appended a change to its log that fits into no message between replicas, and logged at debug level that it was not sent. With a single replica it was accepted.

A version that is not above the one in force is acknowledged whatever its size.

--- a/internal/control/raft_node.go
+++ b/internal/control/raft_node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -30,9 +31,19 @@
 	// CompactEntries is the number of applied entries at which a snapshot
 	// replaces the log. 0 selects the default.
 	CompactEntries uint64
+	// MaxChangeBytes bounds the compressed size of a change. Larger ones are refused. 0
+	// sets no bound.
+	MaxChangeBytes int
 	Random         *rand.Rand
 }
 
+// ChangeTooLargeError reports a change that is larger than RaftOptions.MaxChangeBytes.
+type ChangeTooLargeError struct{ Bytes, Limit int }
+
+func (e *ChangeTooLargeError) Error() string {
+	return fmt.Sprintf("the change has %d bytes compressed, more than the limit of %d", e.Bytes, e.Limit)
+}
+
 // ReplicaState is the intent of a replica with its role and the group as the
 // replica sees it.
 type ReplicaState struct {
@@ -54,7 +65,8 @@
 // RaftNode is a Raft replica without a network server. Its owner transports
 // the messages and calls the node in the same process.
 type RaftNode struct {
-	replica *replica
+	replica        *replica
+	maxChangeBytes int
 }
 
 // OpenRaftNode restores a replica from its data folder. The replica takes no
@@ -71,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &RaftNode{replica: r}, nil
+	return &RaftNode{replica: r, maxChangeBytes: options.MaxChangeBytes}, nil
 }
 
 func (p *publishedState) replicaState() ReplicaState {
@@ -106,15 +118,33 @@
 	}
 }
 
-// Propose commits a change through this replica, which must be the leader.
+// Propose commits a change through this replica, which must be the leader. It returns a
+// *ChangeTooLargeError for a change that it refuses because of its size.
 func (n *RaftNode) Propose(ctx context.Context, change intent.Change) (intent.Result, error) {
 	command, err := encodeCommand(change)
 	if err != nil {
 		return intent.Result{}, err
 	}
+	if n.maxChangeBytes > 0 && len(command) > n.maxChangeBytes {
+		return n.refuseTooLarge(ctx, change, len(command))
+	}
 	return n.replica.submitProposal(ctx, command)
 }
 
+// refuseTooLarge returns the error for a change that is too large, unless it changes
+// nothing: an earlier build may have accepted it.
+func (n *RaftNode) refuseTooLarge(ctx context.Context, change intent.Change, size int) (intent.Result, error) {
+	state, err := n.Read(ctx)
+	if err != nil {
+		return intent.Result{}, err
+	}
+	next, result := intent.Apply(state, change)
+	if next.Revision > state.Revision {
+		return intent.Result{}, &ChangeTooLargeError{Bytes: size, Limit: n.maxChangeBytes}
+	}
+	return result, nil
+}
+
 // Read is a linearizable read: the returned state includes every change that
 // was committed before the call. This replica must be the leader.
 func (n *RaftNode) Read(ctx context.Context) (*intent.State, error) {
--- a/internal/fabric/control_replica.go
+++ b/internal/fabric/control_replica.go
@@ -34,6 +34,10 @@
 	// replica that lacks many.
 	maxBatchBytes      = 64 << 10
 	maxInflightBatches = 4
+	// maxChangeBytes bounds a change of the desired state, compressed. The rest of the largest
+	// message is for the entries that are sent with it, and for the snapshot, which has the
+	// history of changes besides the desired state.
+	maxChangeBytes = 1 << 20
 	// minReplaceVoterAfter exceeds the time without responses in an election.
 	minReplaceVoterAfter = 2 * electionTimeout
 	// minVoters is the smallest number of voters that keeps a majority after the loss
@@ -111,7 +115,8 @@
 		return err
 	}
 	raft, err := control.OpenRaftNode(control.RaftOptions{
-		Consensus: c.consensusOptions(), Files: c.withSyncTiming(files), Send: c.sendConsensusMessages, OnChange: c.handleStateChange, Random: newRandom(),
+		Consensus: c.consensusOptions(), Files: c.withSyncTiming(files), Send: c.sendConsensusMessages, OnChange: c.handleStateChange,
+		MaxChangeBytes: maxChangeBytes, Random: newRandom(),
 	})
 	if err != nil {
 		return errors.Join(err, files.Close())
--- a/internal/fabric/control_test.go
+++ b/internal/fabric/control_test.go
@@ -96,3 +96,11 @@
 	require.Eventually(t, func() bool { return propose(3) && leader() == address && hasJoinPeers() }, timeout, interval)
 	require.NotEqual(t, first, control.raftNode.Load())
 }
+
+// Guards against a change that is accepted and cannot be sent: the largest one must fit
+// into a message between replicas, with the entries that are sent with it or, in a snapshot,
+// with the history of changes.
+func TestLargestChangeFitsIntoMessage(t *testing.T) {
+	const headerBytes, historyBytes = 1 << 10, 64 << 10
+	require.LessOrEqual(t, maxChangeBytes+max(maxBatchBytes, historyBytes)+headerBytes, maxPartsPerMessage*maxPartBytes)
+}
--- a/internal/fabric/transport.go
+++ b/internal/fabric/transport.go
@@ -56,7 +56,7 @@
 	relayPortOffset uint16
 	// resendPort is the port of the processes that send parts again on request.
 	resendPort uint16
-	handlers        [kindCount]func(from netip.Addr, payload []byte)
+	handlers   [kindCount]func(from netip.Addr, payload []byte)
 	// lastMessageNumber numbers the sent messages, so that the receiver can match
 	// their parts.
 	lastMessageNumber uint32
