steering: a full flow table makes room

What callers could see: openings refused by an agent whose upstream would take them, and resets of flows that an upstream holds (FLOW), once the table of the agent is full.

Cause: rejectionVerdict refused openings at MaxFlows; adoptFlow adopted nothing at MaxFlows, while everyFlowSeen still took an unknown flow for one that is not held. Flows without packets stay for max_flow_s, so that callers that go away fill the table.

Change: the table evicts a flow, finished or idle ones first. Until an evicted flow has expired, unknown flows are delivered to the upstream, which returns those that it does not hold, instead of being denied.

--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -72,7 +72,7 @@
 	CheckInInterval time.Duration
 	// IdleTimeout is the time without packets after which a flow is removed.
 	IdleTimeout time.Duration
-	// MaxFlows bounds the flow table.
+	// MaxFlows bounds the flow table. It must be above zero.
 	MaxFlows int
 	// StartedAt is when this process began to receive the packets of its upstream.
 	StartedAt time.Time
@@ -107,6 +107,8 @@
 	// incarnation started, or started together with it. It has then received all packets
 	// of that incarnation.
 	sawUpstreamStart bool
+	// flowsForgottenUntil is when the last flow that was evicted from the full table expires.
+	flowsForgottenUntil time.Time
 	// rejectOpeningsUntil is set after the upstream has not answered an opening.
 	rejectOpeningsUntil time.Time
 	// lastProbeAt is when a probe of the upstream was last requested.
@@ -227,7 +229,7 @@
 	a.possibleSuccessor = possibleSuccessor{}
 	changed = !a.checkedIn || checkIn.Incarnation != previous.Incarnation || checkIn.Status != previous.Status || checkIn.Slots != previous.Slots || checkIn.VM != previous.VM
 	if checkIn.Incarnation != previous.Incarnation {
-		a.rejectOpeningsUntil = time.Time{}
+		a.rejectOpeningsUntil, a.flowsForgottenUntil = time.Time{}, time.Time{}
 		a.sawUpstreamStart = a.checkedIn || a.confirmedAbsent || a.startedTogether(now, &checkIn)
 		if a.checkedIn {
 			a.endFlowsExcept(now, checkIn.Incarnation, true, actions)
@@ -388,6 +390,7 @@
 	if held != nil {
 		a.removeFlow(packet.Flow, held)
 	}
+	a.makeRoom(now)
 	held = &heldFlow{incarnation: a.upstream.Incarnation, balancer: balancer, openingSequence: packet.Sequence, openedAt: now, lastPacketAt: now}
 	a.stageCounts[stageIdle]++
 	a.setStage(held, stageAwaitingRequest)
@@ -407,8 +410,6 @@
 		return NotAccepting
 	case now.Before(a.rejectOpeningsUntil) && !header.LastAttempt:
 		return NoResponse
-	case len(a.flows) >= a.cfg.MaxFlows:
-		return Refused
 	case !header.LastAttempt && a.requestsInProgress() >= a.upstream.Slots:
 		return Busy
 	case !a.serviceTime.admits(a.requestsInProgress(), a.upstream.Slots, header.TimeBudget):
@@ -440,10 +441,13 @@
 	*actions = append(*actions, Action{Kind: Deliver, Reason: CandidateTried, Flow: packet.Flow, Data: data})
 }
 
-// everyFlowSeen reports whether this agent has received a packet of every flow that
-// its upstream may hold. This is the case if it has run for longer than the idle
+// everyFlowSeen reports whether every flow that the upstream may hold is in the table.
+// This is the case if no flow was evicted and this agent has run for longer than the idle
 // timeout, or since the upstream started, or if there is no upstream.
 func (a *Agent) everyFlowSeen(now time.Time) bool {
+	if now.Before(a.flowsForgottenUntil) {
+		return false
+	}
 	if now.Sub(a.cfg.StartedAt) > a.cfg.IdleTimeout+sweepInterval {
 		return true
 	}
--- a/internal/steering/agent_upstream.go
+++ b/internal/steering/agent_upstream.go
@@ -21,14 +21,15 @@
 }
 
 // adoptFlow adds a flow that is missing from the table because this agent restarted
-// after the flow was opened. It returns nil if the packet does not prove that the
-// upstream holds the flow, or if the table is full.
+// after the flow was opened, or has evicted it. It returns nil if the packet does not
+// prove that the upstream holds the flow.
 func (a *Agent) adoptFlow(now time.Time, packet *Packet, actions *[]Action) *heldFlow {
 	unconfirmed, wasUnconfirmed := a.unconfirmedFlows[packet.Flow]
 	delete(a.unconfirmedFlows, packet.Flow)
-	if packet.Flags.Has(RST) || packet.Flags.Has(SYN) || len(a.flows) >= a.cfg.MaxFlows {
+	if packet.Flags.Has(RST) || packet.Flags.Has(SYN) {
 		return nil
 	}
+	a.makeRoom(now)
 	held := &heldFlow{incarnation: a.upstream.Incarnation, accepted: true, established: true, callerAck: packet.Sequence, openedAt: now, lastPacketAt: now}
 	a.flows[packet.Flow] = held
 	a.stageCounts[stageIdle]++
