fabric: flow tables follow the memory of the VM

What callers could see: a process that runs out of memory on a small VM, or flows that are looked up for each packet although the VM has room for them.

Change: an eighth of the memory at 400 bytes a flow.

A balancer's flow was not measured.

--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -23,8 +23,6 @@
 	// defaultMaxFlowAge applies if the platform sets no limit. An agent that keeps a flow for
 	// too long wastes some memory; one that forgets it too early lets it be reset.
 	defaultMaxFlowAge = 5 * time.Minute
-	// maxAgentFlows bounds the flow table. An upstream has some thousands of flows.
-	maxAgentFlows = 20_000
 	// firstCheckInWait is how long an agent waits for a check-in before it probes the
 	// upstream. Agent and upstream start at the same time when a VM boots.
 	firstCheckInWait = 100 * time.Millisecond
@@ -85,7 +83,7 @@
 		maxFlowAge = defaultMaxFlowAge
 	}
 	return steering.AgentConfig{
-		Service: cfg.Service, CheckInInterval: cfg.CheckInInterval, IdleTimeout: maxFlowAge, MaxFlows: maxAgentFlows, StartedAt: startedAt,
+		Service: cfg.Service, CheckInInterval: cfg.CheckInInterval, IdleTimeout: maxFlowAge, MaxFlows: cfg.maxFlows(), StartedAt: startedAt,
 	}
 }
 
--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -20,8 +20,6 @@
 )
 
 const (
-	// maxBalancerFlows bounds the flow table. An entry takes some 300 bytes.
-	maxBalancerFlows = 100_000
 	// idleBeforeStop is the time without packets after which a stopping balancer
 	// exits. Until then it keeps forwarding. The fabric needs two readiness probes,
 	// half a second apart, to stop sending.
@@ -61,7 +59,7 @@
 	}
 	b := &Balancer{
 		packetProcessor: packetProcessor{node: shared}, packetConn: packetConn, actionCounters: newActionCounters(deps.Registry),
-		core: steering.NewBalancer(steering.BalancerConfig{Zone: cfg.Zone, MaxFlows: maxBalancerFlows, Random: newRandom(), LinkBitsPerSecond: cfg.LinkBitsPerSecond}),
+		core: steering.NewBalancer(steering.BalancerConfig{Zone: cfg.Zone, MaxFlows: cfg.maxFlows(), Random: newRandom(), LinkBitsPerSecond: cfg.LinkBitsPerSecond}),
 	}
 	shared.onTimer = func(now time.Time) {
 		b.runDecision(now, func(out *[]steering.Action) { b.core.Tick(now, out) })
