steering: requests stay in progress for as long as their route allows

What callers could see: openings at an upstream all of whose slots are in use, on routes whose requests take longer than a second: they wait in its queue, while others are free.

Agents do not get the desired state, but the forwarding header of an opening has the time that the route allows.

Evidence: TestLongRequestsStayInProgress failed before (budget 5s, after 4s: no request in progress) and passes now; TestAbandonedRequestsFreeTheirSlots is unchanged.

--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -33,8 +33,8 @@
 	// maxReturnedFlows bounds the flows in that store.
 	maxReturnedFlows = 5_000
 	// abandonedRequestTimeout is the time without packets after which a request no
-	// longer counts as in progress: its caller has given up, or its answer was lost.
-	// Upstreams take less than half a second for a request.
+	// longer counts as in progress: its caller has given up, or its answer was lost. If
+	// the route of the flow allows requests more time, that time counts.
 	abandonedRequestTimeout = time.Second
 	// abandonedRequestCheckInterval is how often abandoned requests are removed from
 	// the count while all slots appear to be in use.
@@ -166,6 +166,9 @@
 	// slot was free then, so that the answer is a sample for the service time.
 	requestStartedAt   time.Time
 	measureServiceTime bool
+	// timeBudget is the time that the route allowed when the flow was opened, or zero if
+	// that is not known.
+	timeBudget time.Duration
 	// returnedByUpstream is set if the upstream has returned a packet of the flow.
 	returnedByUpstream bool
 	finished           bool
@@ -391,7 +394,7 @@
 		a.removeFlow(packet.Flow, held)
 	}
 	a.makeRoom(now)
-	held = &heldFlow{incarnation: a.upstream.Incarnation, balancer: balancer, openingSequence: packet.Sequence, openedAt: now, lastPacketAt: now}
+	held = &heldFlow{incarnation: a.upstream.Incarnation, balancer: balancer, openingSequence: packet.Sequence, timeBudget: header.TimeBudget, openedAt: now, lastPacketAt: now}
 	a.stageCounts[stageIdle]++
 	a.setStage(held, stageAwaitingRequest)
 	a.flows[packet.Flow] = held
--- a/internal/steering/agent_expiry.go
+++ b/internal/steering/agent_expiry.go
@@ -71,7 +71,7 @@
 func (a *Agent) dropAbandonedRequests(now time.Time) {
 	for _, held := range a.flows {
 		idle := now.Sub(held.lastPacketAt)
-		if (held.stage == stageInProgress && idle > abandonedRequestTimeout) || (held.stage == stageAwaitingRequest && idle > firstRequestTimeout) {
+		if (held.stage == stageInProgress && idle > max(abandonedRequestTimeout, held.timeBudget)) || (held.stage == stageAwaitingRequest && idle > firstRequestTimeout) {
 			a.setStage(held, stageIdle)
 		}
 	}
--- a/internal/steering/agent_table_test.go
+++ b/internal/steering/agent_table_test.go
@@ -85,3 +85,25 @@
 	a.openFlow(1000)
 	require.Equal(t, steering.FlowNotHeld, a.lookup(5000, 0))
 }
+
+// Guards against slots that are taken for free while the upstream still works: a request
+// may take as long as the objective of its route without a packet.
+func TestLongRequestsStayInProgress(t *testing.T) {
+	for budget, want := range map[time.Duration][2]int{
+		500 * time.Millisecond: {1, 0},
+		5 * time.Second:        {1, 1},
+	} {
+		a := newReadyAgent(t)
+		header := ownHeader
+		header.TimeBudget = budget
+		a.handleCallerPacket(openingPacket(9), header)
+		a.handleUpstreamPacket(upstreamPacket(9, steering.SYN|steering.ACK, 0))
+		a.handleCallerPacket(callerPacket(9, 10), ownHeader)
+		for i, after := range []time.Duration{900 * time.Millisecond, 4 * time.Second} {
+			a.now = start.Add(after)
+			a.Tick(a.now, &a.actions)
+			requests, _ := a.Load()
+			require.Equal(t, want[i], requests, "budget %s, after %s", budget, after)
+		}
+	}
+}
