--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -56,6 +56,7 @@
 	isolated                  map[vm.ID]bool    // replicas without a working link to the others
 	blockedLinks              map[[2]vm.ID]bool // links that drop messages in the direction from, to
 	lossRate, duplicationRate float64
+	minLinkDelay              time.Duration
 	committedEntries          map[uint64]string
 	lastIncarnation           vm.Incarnation
 	// targetVoters, if above zero, lets new replicas join. The first initialVoters
@@ -203,7 +204,7 @@
 	}
 	for copies := 0; copies < 2; copies++ {
 		if c.random.Float64() >= c.lossRate {
-			delay := time.Duration(1+c.random.IntN(40)) * time.Millisecond
+			delay := c.minLinkDelay + time.Duration(1+c.random.IntN(40))*time.Millisecond
 			c.inTransit = append(c.inTransit, messageInTransit{arrivesAt: c.now.Add(delay), to: message.To.VM, data: data})
 		}
 		if c.random.Float64() >= c.duplicationRate {
@@ -287,7 +288,7 @@
 }
 
 // confirmsRead reports whether a majority confirms a read of a replica within 10
-// ticks.
+// ticks, and a round trip of the links.
 func (c *cluster) confirmsRead(replica *testReplica) bool {
 	confirmed := false
 	c.lastReadID++
@@ -295,7 +296,7 @@
 		return false
 	}
 	replica.pendingReads[c.lastReadID] = func(ok bool, _ uint64) { confirmed = ok }
-	for range 10 {
+	for range 10 + 2*int(c.minLinkDelay/tickInterval) {
 		c.processOutputs(replica)
 		if confirmed || replica.core.Role() != consensus.Leader {
 			return confirmed
