--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GOFUMPT := go run mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
 PROGRAMS := $(notdir $(wildcard cmd/*))
 
-.PHONY: build test fmt lint generate e2e slopes bench dev measure soak soak-short soak-fresh
+.PHONY: build test fmt lint generate e2e slopes bench dev measure soak soak-replace soak-short soak-fresh
 
 build: ## Builds all programs into bin/.
 	go build -o bin/ ./cmd/...
@@ -42,8 +42,12 @@
 soak: build ## Runs the platform programs under faults, SEEDS seeds.
 	bin/bramley-dev soak --regressions --seeds $(SEEDS)
 
+soak-replace: build ## Runs SEEDS seeds in which control processes are also replaced for good.
+	bin/bramley-dev soak --replace-control --faults 40s --seeds $(SEEDS)
+
 soak-short: build ## Runs the fixed seeds of CI.
 	bin/bramley-dev soak --regressions --seed 0 --seed 1 --seed 2
+	bin/bramley-dev soak --replace-control --faults 25s --seed 0 --seed 1 --seed 2
 
 soak-fresh: build ## Runs random seeds for five minutes.
 	bin/bramley-dev soak --fresh 5m
--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -30,6 +30,7 @@
 			&cli.IntFlag{Name: "seeds", Usage: "run this many seeds, starting with 1", Sources: cli.EnvVars("BRAMLEY_SOAK_SEEDS")},
 			&cli.DurationFlag{Name: "fresh", Usage: "run random seeds for this time", Sources: cli.EnvVars("BRAMLEY_SOAK_FRESH")},
 			&cli.DurationFlag{Name: "faults", Value: 12 * time.Second, Usage: "time for which each run injects faults", Sources: cli.EnvVars("BRAMLEY_SOAK_FAULTS")},
+			&cli.BoolFlag{Name: "replace-control", Usage: "also replace control processes for good", Sources: cli.EnvVars("BRAMLEY_SOAK_REPLACE_CONTROL")},
 			&cli.IntFlag{Name: "parallel", Value: 3, Usage: "number of concurrent runs, 1 to 20, of 13 processes each", Sources: cli.EnvVars("BRAMLEY_SOAK_PARALLEL")},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -37,7 +38,7 @@
 			if parallel < 1 || parallel > 20 {
 				return fmt.Errorf("soak: parallel is %d, not between 1 and 20", parallel)
 			}
-			options := Options{ProgramFolder: c.String("programs"), FaultDuration: c.Duration("faults")}
+			options := Options{ProgramFolder: c.String("programs"), FaultDuration: c.Duration("faults"), ReplaceControl: c.Bool("replace-control")}
 			seeds := c.Uint64Slice("seed")
 			if c.Bool("regressions") {
 				regressions, err := regressionSeeds()
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -61,6 +61,9 @@
 	// maxApplyTime is the time after its acknowledgement within which every
 	// control process must return a desired state.
 	maxApplyTime = 3 * time.Second
+	// catchUpTime is the time after its start within which a control process must have all
+	// changes.
+	catchUpTime = 4 * time.Second
 	// stopGracePeriod is the time within which a process must exit after SIGTERM.
 	stopGracePeriod = 6 * time.Second
 	// maxRecoveryTime is the time after the last fault within which requests must
@@ -95,9 +98,11 @@
 	// of the desired state has routed it.
 	routedServices map[netip.AddrPort]map[string]bool
 	lastVersion    uint64
-	acknowledged   []acknowledgedVersion
-	breaches       []string
-	timeline       []string
+	// successors is the number of control processes that were started to replace others.
+	successors   int
+	acknowledged []acknowledgedVersion
+	breaches     []string
+	timeline     []string
 	// faultEnds is the end of the last unplanned fault of each VM. It is in the
 	// future while the fault lasts.
 	faultEnds map[netip.Addr]time.Time
@@ -184,7 +189,7 @@
 
 // stopAll stops everything that the deployment has started.
 func (d *deployment) stopAll() {
-	for _, p := range d.processes {
+	for _, p := range d.allProcesses() {
 		p.kill()
 	}
 	for _, u := range d.runningUpstreams() {
--- a/internal/soak/desired_state.go
+++ b/internal/soak/desired_state.go
@@ -47,7 +47,7 @@
 	d.mu.Unlock()
 	body := platformtest.EncodeDesired(version, routes, serviceNames...)
 	for deadline := time.Now().Add(timeout); time.Now().Before(deadline) && ctx.Err() == nil; sleepContext(ctx, 100*time.Millisecond) {
-		status, _ := d.callControl(ctx, http.MethodPut, random.IntN(len(d.controls)), body)
+		status, _ := d.callControl(ctx, http.MethodPut, random.IntN(voterCount), body)
 		switch {
 		case status == http.StatusOK:
 			d.mu.Lock()
@@ -67,7 +67,7 @@
 // callControl calls a control process as the operator does. Status 0 means that there
 // was no response.
 func (d *deployment) callControl(ctx context.Context, method string, index int, body []byte) (status int, responseBody []byte) {
-	url := "http://" + netip.AddrPortFrom(d.controls[index].address(), controlPort).String() + platformtest.DesiredPath
+	url := "http://" + netip.AddrPortFrom(d.controlProcesses()[index].address(), controlPort).String() + platformtest.DesiredPath
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
@@ -88,7 +88,7 @@
 // the context is done. It checks that no response is older than a version that was
 // acknowledged more than maxApplyTime before.
 func (d *deployment) pollDesiredState(ctx context.Context) {
-	for i := 0; ctx.Err() == nil; i = (i + 1) % len(d.controls) {
+	for i := 0; ctx.Err() == nil; i = (i + 1) % voterCount {
 		d.checkDesiredState(ctx, i)
 		sleepContext(ctx, 150*time.Millisecond)
 	}
@@ -104,7 +104,7 @@
 	}
 	version, err := platformtest.DecodeVersion(body)
 	if err != nil {
-		d.recordBreach("CONFIG", "%s returned a desired state that cannot be decoded: %v", d.controls[index].name(), err)
+		d.recordBreach("CONFIG", "%s returned a desired state that cannot be decoded: %v", d.controlProcesses()[index].name(), err)
 		return false
 	}
 	d.mu.Lock()
@@ -116,7 +116,7 @@
 	}
 	d.mu.Unlock()
 	if version < minVersion {
-		d.recordBreach("CONFIG", "%s returned version %d, but %d was acknowledged more than %s before", d.controls[index].name(), version, minVersion, maxApplyTime)
+		d.recordBreach("CONFIG", "%s returned version %d, but %d was acknowledged more than %s before", d.controlProcesses()[index].name(), version, minVersion, maxApplyTime)
 	}
 	return true
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -47,7 +47,7 @@
 		return d.rollingRestart(ctx, d.agents, random)
 	}},
 	{"roll of control", plannedOnly, true, func(ctx context.Context, d *deployment, random *rand.Rand) error {
-		return d.rollingRestart(ctx, d.controls, random)
+		return d.rollingRestart(ctx, d.controlProcesses(), random)
 	}},
 	{"release", plannedOnly, false, releaseUpstream},
 	{"changes", plannedOnly, false, func(ctx context.Context, d *deployment, random *rand.Rand) error {
@@ -58,7 +58,7 @@
 		return nil
 	}},
 	{"reload", plannedOnly, false, func(_ context.Context, d *deployment, _ *rand.Rand) error {
-		for _, p := range d.processes {
+		for _, p := range d.allProcesses() {
 			p.signal(syscall.SIGHUP, false)
 		}
 		return nil
@@ -72,16 +72,16 @@
 	{"crash of an upstream", withUnplanned, false, crashUpstream},
 	{"link", withUnplanned, false, injectLinkFault},
 	{"kill of a voter", withVoterFaults, true, func(ctx context.Context, d *deployment, random *rand.Rand) error {
-		return d.killAndRestart(ctx, d.randomProcess(random, d.controls), random, func(*process) error { return nil })
+		return d.killAndRestart(ctx, d.randomProcess(random, d.controlProcesses()), random, func(*process) error { return nil })
 	}},
 	{"pause of a voter", withVoterFaults, true, func(ctx context.Context, d *deployment, random *rand.Rand) error {
-		return d.suspendAndResume(ctx, d.randomProcess(random, d.controls), random)
+		return d.suspendAndResume(ctx, d.randomProcess(random, d.controlProcesses()), random)
 	}},
 	{"lost disk", withVoterFaults, true, func(ctx context.Context, d *deployment, random *rand.Rand) error {
-		return d.killAndRestart(ctx, d.randomProcess(random, d.controls), random, func(p *process) error { return os.RemoveAll(p.settings.DataFolder) })
+		return d.killAndRestart(ctx, d.randomProcess(random, d.controlProcesses()), random, func(p *process) error { return os.RemoveAll(p.settings.DataFolder) })
 	}},
 	{"torn write", withVoterFaults, true, func(ctx context.Context, d *deployment, random *rand.Rand) error {
-		return d.killAndRestart(ctx, d.randomProcess(random, d.controls), random, appendTornRecord)
+		return d.killAndRestart(ctx, d.randomProcess(random, d.controlProcesses()), random, appendTornRecord)
 	}},
 }
 
@@ -94,6 +94,9 @@
 			eligible = append(eligible, candidate)
 		}
 	}
+	if d.options.ReplaceControl {
+		eligible = append(eligible, controlReplacement)
+	}
 	var running sync.WaitGroup
 	var voterLock sync.Mutex
 	for ctx.Err() == nil {
@@ -222,7 +225,7 @@
 	duration := time.Duration(500+random.IntN(4000)) * time.Millisecond
 	d.logEvent("links of %s: %s, ways %d, for %s", target.name(), name, directions, duration)
 	setFault := func(f linkFault) {
-		for _, p := range d.processes {
+		for _, p := range d.allProcesses() {
 			if directions != 1 {
 				d.relay.setFault(target.address(), p.address(), f)
 			}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -78,6 +78,20 @@
 	return nil
 }
 
+// copySettings returns a copy of the current settings.
+func (p *process) copySettings() platformtest.Settings {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.settings
+}
+
+// setSeeds sets the seeds that later starts of the process get.
+func (p *process) setSeeds(seeds []netip.Addr) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.settings.Seeds = seeds
+}
+
 // signal sends a signal to the process if it runs. expectExit is set for signals that
 // end the process.
 func (p *process) signal(sig syscall.Signal, expectExit bool) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -21,6 +21,8 @@
 	ProgramFolder string
 	// FaultDuration is the time for which faults are injected.
 	FaultDuration time.Duration
+	// ReplaceControl adds replacements of control processes to the faults.
+	ReplaceControl bool
 }
 
 // Report is the outcome of a run.
@@ -133,9 +135,9 @@
 	if report.ServedShare = servedCount / max(servedCount+unservedCount, 1); report.ServedShare < minServedShare {
 		d.recordBreach("RECOVER", "%.3f of the requests were served after the faults, less than %.2f", report.ServedShare, minServedShare)
 	}
-	for i := range d.controls {
+	for i, control := range d.controlProcesses() {
 		if !d.checkDesiredState(ctx, i) && ctx.Err() == nil {
-			d.recordBreach("RECOVER", "%s does not respond to reads after the faults", d.controls[i].name())
+			d.recordBreach("RECOVER", "%s does not respond to reads after the faults", control.name())
 		}
 	}
 }
