--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -367,3 +367,23 @@
 	_, due = c.FetchSource(start.Add(2 * time.Second))
 	require.False(t, due)
 }
+
+// Guards against fetches of further copies while one is arriving, and against a fetch that
+// is never repeated.
+func TestPostponedFetch(t *testing.T) {
+	c := newClient(vm.RoleBalancer, 2, address(1))
+	c.SetVersion(3)
+	c.HandleSyncResponse(start, address(1), &directory.SyncResponse{Version: 4})
+	_, due := c.FetchSource(start)
+	require.True(t, due)
+	now := start
+	for range 5 {
+		now = c.Deadline()
+		c.PostponeFetch(now)
+		_, due = c.FetchSource(now)
+		require.False(t, due)
+	}
+	now = now.Add(time.Second)
+	_, due = c.FetchSource(now)
+	require.True(t, due)
+}
--- a/internal/fabric/retransmission_test.go
+++ b/internal/fabric/retransmission_test.go
@@ -148,3 +148,23 @@
 	require.Len(t, r.messages, 1)
 	require.Equal(t, 1, r.bytes)
 }
+
+// Guards against further copies of a desired state that fill the link while the parts of
+// one are arriving, and against a balancer that waits for a sender that has stopped.
+func TestIsReceiving(t *testing.T) {
+	receiver, err := openTransport(netip.MustParseAddr("127.77.3.6"), 0, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = receiver.conn.Close() })
+	receiver.handlers[kindDesiredState] = func(netip.Addr, []byte) {}
+	part := func(number byte, index byte) []byte {
+		return []byte{byte(kindDesiredState), 0, 0, 0, number, 0, index, 0, 2, 'x'}
+	}
+	require.False(t, receiver.isReceiving(kindDesiredState, time.Now()))
+	receiver.handleDatagram(unknownSender, part(1, 0))
+	now := time.Now()
+	require.True(t, receiver.isReceiving(kindDesiredState, now))
+	require.False(t, receiver.isReceiving(kindConsensus, now))
+	require.False(t, receiver.isReceiving(kindDesiredState, now.Add(receivingTimeout)), "the sender has stopped")
+	receiver.handleDatagram(unknownSender, part(1, 1))
+	require.False(t, receiver.isReceiving(kindDesiredState, now), "the message is complete")
+}
