steering, fabric: evictions end with the upstream; a test on an address of its own

Reading the diff: the mark that flows were evicted ended with the first check-in after a restart of the agent, although its upstream may still hold them; it now ends with a new incarnation only (TestEvictionsEndWithTheUpstream). A balancer without a limit of memory had room for 100,000 flows before, and has again.

--- a/internal/fabric/control_test.go
+++ b/internal/fabric/control_test.go
@@ -16,6 +16,7 @@
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/logstore"
 	"bramleyhold.example/bramleyhold/internal/logstore/logstoretest"
+	"bramleyhold.example/bramleyhold/internal/loopback"
 )
 
 // A voter that was removed without notice must be replaced before its successor has run
@@ -49,7 +50,7 @@
 func TestReplicaWithFullDisk(t *testing.T) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	address := netip.MustParseAddr("127.78.0.1")
+	address := loopback.Host
 	control, err := NewControl(Config{
 		VM: "c", Address: address, NodePort: 17720, ControlPort: 17721, Seeds: []netip.Addr{address}, FirstStart: true, CountsAsLoss: true,
 		MaxLosses: 1, DataFolder: t.TempDir(), ReachableAfter: 4 * time.Second,
--- a/internal/fabric/flow_limit.go
+++ b/internal/fabric/flow_limit.go
@@ -1,15 +1,15 @@
 package fabric
 
 const (
-	// flowTableShare is the part of the memory of a VM that its flow table may use: one
-	// eighth. The garbage collector needs as much again, and the rest of the process and
-	// packets that wait in buffers need the most.
-	flowTableShare = 8
-	// flowBytes is the memory for one flow at an agent or a balancer.
+	// flowTableDivisor is the part of the memory of a VM that its flow table may use: one
+	// eighth. The garbage collector needs as much again, and packets that wait need more.
+	flowTableDivisor = 8
+	// flowBytes is the memory for one flow, with room for that of the table itself.
 	flowBytes = 400
 	// defaultMaxFlows applies if the platform sets no limit of memory.
-	defaultMaxFlows = 20_000
-	minMaxFlows     = 1_000
+	defaultMaxFlows = 100_000
+	// minMaxFlows applies to VMs with less memory than the programs need.
+	minMaxFlows = 1_000
 )
 
 // maxFlows returns the size of a flow table.
@@ -21,5 +21,5 @@
 	if c.MemoryBytes <= 0 {
 		return defaultMaxFlows
 	}
-	return max(minMaxFlows, int(c.MemoryBytes/flowTableShare/flowBytes))
+	return max(minMaxFlows, int(c.MemoryBytes/flowTableDivisor/flowBytes))
 }
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -232,9 +232,10 @@
 	a.possibleSuccessor = possibleSuccessor{}
 	changed = !a.checkedIn || checkIn.Incarnation != previous.Incarnation || checkIn.Status != previous.Status || checkIn.Slots != previous.Slots || checkIn.VM != previous.VM
 	if checkIn.Incarnation != previous.Incarnation {
-		a.rejectOpeningsUntil, a.flowsForgottenUntil = time.Time{}, time.Time{}
+		a.rejectOpeningsUntil = time.Time{}
 		a.sawUpstreamStart = a.checkedIn || a.confirmedAbsent || a.startedTogether(now, &checkIn)
 		if a.checkedIn {
+			a.flowsForgottenUntil = time.Time{}
 			a.endFlowsExcept(now, checkIn.Incarnation, true, actions)
 		}
 	}
--- a/internal/steering/agent_table_test.go
+++ b/internal/steering/agent_table_test.go
@@ -107,3 +107,13 @@
 		}
 	}
 }
+
+// Guards against an agent that still asks a new upstream process about flows that it has
+// evicted before: the new process holds none of them.
+func TestEvictionsEndWithTheUpstream(t *testing.T) {
+	a := fillTable(t)
+	a.openFlow(1000)
+	require.Equal(t, steering.FlowUndetermined, a.lookup(5000, 0))
+	require.True(t, a.checkIn(newCheckIn(2, 0, view.Ready)))
+	require.Equal(t, steering.FlowNotHeld, a.lookup(5000, 0))
+}
--- a/internal/steering/service_tag.go
+++ b/internal/steering/service_tag.go
@@ -2,17 +2,17 @@
 
 import "bramleyhold.example/bramleyhold/internal/service"
 
-// ServiceTag identifies a service in forwarding headers: ServiceTagBits of a hash of its
+// ServiceTag identifies a service in forwarding headers: serviceTagBits of a hash of its
 // name. The lowest shortTagBits are the whole tag of earlier builds.
 type ServiceTag uint64
 
 const (
-	// ServiceTagBits is the size of a tag. Among 10,000 services, two with the same tag
+	// serviceTagBits is the size of a tag. Among 10,000 services, two with the same tag
 	// have a probability of one in five million.
-	ServiceTagBits = 48
+	serviceTagBits = 48
 	shortTagBits   = 16
 
-	serviceTagMask = 1<<ServiceTagBits - 1
+	serviceTagMask = 1<<serviceTagBits - 1
 	shortTagMask   = 1<<shortTagBits - 1
 )
 
