fabric: encoding a change does not count against its majority

What callers could see: a large desired state that is never acknowledged by a slow VM. Each attempt ends with 503 (context deadline exceeded), and the operator sends it again.

Cause: the 850 ms that a call waits for a leader and a majority began before the change was encoded. Found since TestLargeDesiredStateIsApplied and TestTooLargeDesiredStateIsRefused failed in make test, with the race detector and beside other work (15,000 and 28,000 routes): encoding alone took longer.

Change: the leader encodes a change once and then begins to wait for the majority, with a microsecond more for each compressed byte, since replicas decode a change before they respond. A change that is too large is refused without reaching that deadline.

Evidence: TestSlowEncodingOfDesiredState failed before (no attempt in 10 s succeeded with 25 ms for a state that takes longer to encode) and passes now.

--- a/internal/control/raft_node.go
+++ b/internal/control/raft_node.go
@@ -118,29 +118,44 @@
 	}
 }
 
-// Propose commits a change through this replica, which must be the leader. It returns a
-// *ChangeTooLargeError for a change that it refuses because of its size.
-func (n *RaftNode) Propose(ctx context.Context, change intent.Change) (intent.Result, error) {
+// EncodedChange is a change as it is written to the log.
+type EncodedChange struct {
+	change  intent.Change
+	command []byte
+}
+
+// Size returns the number of bytes in the log.
+func (e *EncodedChange) Size() int { return len(e.command) }
+
+// EncodeChange encodes a change. A desired state of some thousand routes takes a large part
+// of a second on a small VM.
+func EncodeChange(change intent.Change) (*EncodedChange, error) {
 	command, err := encodeCommand(change)
 	if err != nil {
-		return intent.Result{}, err
+		return nil, fmt.Errorf("encode change: %w", err)
 	}
-	if n.maxChangeBytes > 0 && len(command) > n.maxChangeBytes {
-		return n.refuseTooLarge(ctx, change, len(command))
+	return &EncodedChange{change: change, command: command}, nil
+}
+
+// Propose commits a change through this replica, which must be the leader. It returns a
+// *ChangeTooLargeError for a change that it refuses because of its size.
+func (n *RaftNode) Propose(ctx context.Context, encoded *EncodedChange) (intent.Result, error) {
+	if n.maxChangeBytes > 0 && encoded.Size() > n.maxChangeBytes {
+		return n.refuseTooLarge(ctx, encoded)
 	}
-	return n.replica.submitProposal(ctx, command)
+	return n.replica.submitProposal(ctx, encoded.command)
 }
 
 // refuseTooLarge returns the error for a change that is too large, unless it changes
 // nothing: an earlier build may have accepted it.
-func (n *RaftNode) refuseTooLarge(ctx context.Context, change intent.Change, size int) (intent.Result, error) {
+func (n *RaftNode) refuseTooLarge(ctx context.Context, encoded *EncodedChange) (intent.Result, error) {
 	state, err := n.Read(ctx)
 	if err != nil {
 		return intent.Result{}, err
 	}
-	next, result := intent.Apply(state, change)
+	next, result := intent.Apply(state, encoded.change)
 	if next.Revision > state.Revision {
-		return intent.Result{}, &ChangeTooLargeError{Bytes: size, Limit: n.maxChangeBytes}
+		return intent.Result{}, &ChangeTooLargeError{Bytes: encoded.Size(), Limit: n.maxChangeBytes}
 	}
 	return result, nil
 }
--- a/internal/fabric/control.go
+++ b/internal/fabric/control.go
@@ -21,9 +21,12 @@
 )
 
 const (
-	// requestTimeout bounds how long a call waits for a leader or a majority. It is
+	// defaultRequestTimeout bounds how long a call waits for a leader or a majority. It is
 	// shorter than a second, after which HTTP clients try another control process.
-	requestTimeout = 850 * time.Millisecond
+	defaultRequestTimeout = 850 * time.Millisecond
+	// applyTimePerByte is added to it for each byte of a change, compressed. Replicas decode a
+	// change before they respond, and clients wait longer for the response to a large body.
+	applyTimePerByte = time.Microsecond
 	// leaderPollInterval is how often a waiting call checks for a leader.
 	leaderPollInterval = 25 * time.Millisecond
 )
@@ -44,7 +47,8 @@
 	known          knownProcesses
 	// learnerSince is when the replica was opened or made a learner, or zero while it is a
 	// voter.
-	learnerSince time.Time
+	learnerSince   time.Time
+	requestTimeout time.Duration
 	// openFolder opens the data folder.
 	openFolder func(path string) (logstore.FileSystem, error)
 }
@@ -59,7 +63,7 @@
 	now := time.Now()
 	self := shared.directoryClient.Self()
 	self.Status = view.Ready
-	c := &Control{node: shared, known: knownProcesses{path: knownProcessesPath(cfg.DataFolder)}, openFolder: logstore.OpenFolder}
+	c := &Control{node: shared, known: knownProcesses{path: knownProcessesPath(cfg.DataFolder)}, requestTimeout: defaultRequestTimeout, openFolder: logstore.OpenFolder}
 	const bitsPerByte = 8
 	c.directoryServer = directory.NewServer(directory.ServerConfig{
 		Epoch: newRandom().Uint64(), Self: self, StartedAt: now, AlwaysServesRecords: c.hasReplica(), LinkBytesPerSecond: cfg.LinkBitsPerSecond / bitsPerByte,
@@ -228,9 +232,9 @@
 
 // runOnLeader runs a call if this process is the leader. If another process leads,
 // it returns a RedirectError. If no leader is known, it waits for up to
-// requestTimeout and then returns an UnavailableError.
+// c.requestTimeout and then returns an UnavailableError.
 func (c *Control) runOnLeader(ctx context.Context, call func(context.Context, *control.RaftNode) error) error {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.requestTimeout)
 	defer cancel()
 	for {
 		raft := c.raftNode.Load()
@@ -263,8 +267,17 @@
 // Propose proposes a desired state to the replicated log and returns the outcome.
 func (c *Control) Propose(ctx context.Context, desired *intent.DesiredState) (result intent.Result, err error) {
 	startedAt := time.Now()
-	err = c.runOnLeader(ctx, func(ctx context.Context, raft *control.RaftNode) error {
-		result, err = raft.Propose(ctx, intent.Change{Kind: intent.KindDesired, Desired: desired})
+	var encoded *control.EncodedChange
+	err = c.runOnLeader(ctx, func(_ context.Context, raft *control.RaftNode) error {
+		if encoded == nil {
+			if encoded, err = control.EncodeChange(intent.Change{Kind: intent.KindDesired, Desired: desired}); err != nil {
+				return err
+			}
+		}
+		// The time for the majority begins once the change is encoded.
+		proposeCtx, cancel := context.WithTimeout(ctx, c.requestTimeout+time.Duration(encoded.Size())*applyTimePerByte)
+		defer cancel()
+		result, err = raft.Propose(proposeCtx, encoded)
 		return err
 	})
 	c.recordDuration("proposals.us", time.Since(startedAt))
