--- a/internal/steering/agent_table_test.go
+++ b/internal/steering/agent_table_test.go
@@ -115,5 +115,6 @@
 	a.openFlow(1000)
 	require.Equal(t, steering.FlowUndetermined, a.lookup(5000, 0))
 	require.True(t, a.checkIn(newCheckIn(2, 0, view.Ready)))
+	a.takeActions() // the resets of the flows of the previous process
 	require.Equal(t, steering.FlowNotHeld, a.lookup(5000, 0))
 }
