steering: agent, balancer and placement split by job

Change: check-ins, openings and lookups of the agent, openings, timers and flow entries of the balancer, and the state of upstreams have files of their own. Declarations were moved; nothing else changed.

--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -31,21 +31,9 @@
 	// balancer in another zone. The second lookup thereby includes an upstream that was
 	// missing from the first one.
 	confirmationDelay = 30 * time.Millisecond
-	// minLookupRetryDelay is the time between the first two lookups of a flow if some
-	// agent could not determine whether its upstream holds the flow. It is shorter than
-	// the first retransmission interval of callers (200 ms). The delay doubles up to
-	// maxLookupRetryDelay, the longest retransmission interval of callers.
-	minLookupRetryDelay = 150 * time.Millisecond
-	maxLookupRetryDelay = 1600 * time.Millisecond
 	// maxBufferedPackets bounds the packets of one flow that are buffered during a
 	// lookup: one window of the caller.
 	maxBufferedPackets = 16
-	// idleTimeoutMargin is added to the idle timeout of flows, so that a balancer does
-	// not evict a flow before its upstream does.
-	idleTimeoutMargin = 5 * time.Second
-	// finishedFlowLifetime is how long a finished flow is kept for late
-	// retransmissions.
-	finishedFlowLifetime = 5 * time.Second
 )
 
 // minBulkPacketBytes is the size from which a packet of an upload is bulk data. Smaller
@@ -62,82 +50,6 @@
 	Random            *rand.Rand
 }
 
-// flowState is the state of a flow in the table of a balancer.
-type flowState uint8
-
-const (
-	// stateOpeningUnconfirmed: the opening was sent to an agent. Also after an upstream
-	// has accepted it, the state lasts until the caller's next packet confirms which
-	// upstream the caller uses.
-	stateOpeningUnconfirmed flowState = iota
-	// stateHolderKnown: packets are forwarded to the holder.
-	stateHolderKnown
-	// stateLookupPending: a holder lookup is queued or in progress. Packets are
-	// buffered.
-	stateLookupPending
-	// stateOpeningQueued: the opening is queued until an upstream can accept it.
-	stateOpeningQueued
-	// stateHolderNotFound: the last lookup found no holder.
-	stateHolderNotFound
-	// stateCandidatesTried: a packet was sent to the current candidates of the lookup.
-	stateCandidatesTried
-)
-
-// flowEntry is the state of one flow.
-type flowEntry struct {
-	key   flow.Key
-	state flowState
-	// upstream is the holder or, while an opening is placed, the upstream that the
-	// opening was last sent to or accepted by.
-	upstream *upstreamState
-	// openingSequence and openingPacket are the sequence number and the content of the
-	// opening.
-	openingSequence uint32
-	openingPacket   []byte
-	// attemptedAgents lists the addresses of the agents that the opening was sent to,
-	// acceptances the upstreams that accepted it.
-	attemptedAgents []netip.Addr
-	acceptances     []acceptance
-	// waitAtArrival is how long the caller had waited when the opening arrived.
-	waitAtArrival time.Duration
-	// createdAt is when the first packet of the flow arrived here. deadline is when the
-	// current step times out, or zero.
-	createdAt    time.Time
-	deadline     time.Time
-	lastPacketAt time.Time
-	finished     bool
-	// resetByCaller is set if the caller has sent a reset.
-	resetByCaller bool
-	lookup        *holderLookup
-	// firstLookupAt is the start of the first lookup in the current series of lookups,
-	// or zero.
-	firstLookupAt time.Time
-	// bufferedPackets lists the packets received during a lookup, callerAck the
-	// acknowledgement number of the caller's last packet.
-	bufferedPackets [][]byte
-	callerAck       uint32
-	// notFoundAt is when the last lookup ended without a holder. deniedByAll is set if
-	// the directory was complete in that lookup and every agent denied the flow, except
-	// for those that the directory lists as failed and that did not respond.
-	// failedLookups counts the lookups without a holder.
-	notFoundAt    time.Time
-	deniedByAll   bool
-	failedLookups int
-}
-
-// lookupRetryDelay returns the delay before the next lookup of the flow.
-func (e *flowEntry) lookupRetryDelay() time.Duration {
-	const maxDoublings = 4
-	return min(minLookupRetryDelay<<min(max(e.failedLookups-1, 0), maxDoublings), maxLookupRetryDelay)
-}
-
-// acceptance is an upstream that has accepted the opening, with the sequence number
-// of its SYN-ACK.
-type acceptance struct {
-	upstream *upstreamState
-	sequence uint32
-}
-
 // Balancer steers packets of callers for one process on an entry VM.
 type Balancer struct {
 	cfg     BalancerConfig
@@ -169,12 +81,6 @@
 	directoryComplete bool
 }
 
-// flowTimer is a timeout that was set for a flow.
-type flowTimer struct {
-	entry     *flowEntry
-	expiresAt time.Time
-}
-
 // NewBalancer returns a balancer without routes and upstreams.
 func NewBalancer(cfg BalancerConfig) *Balancer {
 	return &Balancer{
@@ -340,32 +246,6 @@
 	entry.bufferedPackets = append(entry.bufferedPackets, slices.Clone(data))
 }
 
-func (b *Balancer) addFlow(now time.Time, key flow.Key) *flowEntry {
-	entry := &flowEntry{key: key, createdAt: now, lastPacketAt: now}
-	if len(b.flows) >= b.cfg.MaxFlows {
-		b.evictArbitraryFlow()
-	}
-	b.flows[key] = entry
-	if b.nextSweep.IsZero() {
-		b.nextSweep = now.Add(sweepInterval)
-	}
-	return entry
-}
-
-// evictArbitraryFlow removes an arbitrary flow from the table. If the caller of
-// that flow sends another packet, a holder lookup restores the entry.
-func (b *Balancer) evictArbitraryFlow() {
-	for key := range b.flows {
-		delete(b.flows, key)
-		return
-	}
-}
-
-func (b *Balancer) setDeadline(entry *flowEntry, at time.Time) {
-	entry.deadline = at
-	b.timers = append(b.timers, flowTimer{entry: entry, expiresAt: at})
-}
-
 // HandleMessage handles a message of the agent at address from.
 func (b *Balancer) HandleMessage(now time.Time, from netip.Addr, message *Message, actions *[]Action) {
 	first := len(*actions)
@@ -399,87 +279,3 @@
 	case LookupRequest, LookupResponse:
 	}
 }
-
-// Tick handles expired timers, advances lookups and sends held packets.
-func (b *Balancer) Tick(now time.Time, actions *[]Action) {
-	first := len(*actions)
-	for {
-		index := b.earliestTimer()
-		if index < 0 || now.Before(b.timers[index].expiresAt) {
-			break
-		}
-		entry := b.timers[index].entry
-		b.timers = slices.Delete(b.timers, index, index+1)
-		entry.deadline = time.Time{}
-		b.handleTimeout(now, entry, actions)
-	}
-	b.advanceBatches(now, actions)
-	b.scheduleEgress(now, first, actions)
-	if !b.nextSweep.IsZero() && !now.Before(b.nextSweep) {
-		b.evictExpired(now)
-	}
-}
-
-// earliestTimer removes obsolete timers and returns the index of the earliest of the
-// others, or -1. Only a few different timeouts are in use, so the list is nearly in
-// order of expiry.
-func (b *Balancer) earliestTimer() int {
-	b.timers = slices.DeleteFunc(b.timers, func(timer flowTimer) bool {
-		return timer.entry.deadline != timer.expiresAt || b.flows[timer.entry.key] != timer.entry
-	})
-	earliest := -1
-	for i := range b.timers {
-		if earliest < 0 || b.timers[i].expiresAt.Before(b.timers[earliest].expiresAt) {
-			earliest = i
-		}
-	}
-	return earliest
-}
-
-// Deadline returns the time at which Tick must be called next, or zero if no timer
-// is set.
-func (b *Balancer) Deadline() time.Time {
-	next := b.nextSweep
-	if index := b.earliestTimer(); index >= 0 && (next.IsZero() || b.timers[index].expiresAt.Before(next)) {
-		next = b.timers[index].expiresAt
-	}
-	for _, at := range [...]time.Time{b.batchesDeadline(), b.egress.deadline()} {
-		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
-			next = at
-		}
-	}
-	return next
-}
-
-func (b *Balancer) handleTimeout(now time.Time, entry *flowEntry, actions *[]Action) {
-	switch entry.state {
-	case stateOpeningUnconfirmed:
-		b.handleOpeningTimeout(now, entry, actions)
-	case stateOpeningQueued:
-		b.retryQueuedOpening(now, entry, actions)
-	case stateCandidatesTried:
-		b.finishCandidates(now, entry, actions)
-	case stateHolderNotFound:
-		b.queueLookup(now, entry, actions)
-	case stateHolderKnown, stateLookupPending:
-	}
-}
-
-// evictExpired removes flows that are idle, finished or whose opening has expired.
-func (b *Balancer) evictExpired(now time.Time) {
-	limit := idleTimeoutMargin
-	if b.desired != nil {
-		limit += b.desired.IdleTimeout
-	}
-	for key, entry := range b.flows {
-		idle := now.Sub(entry.lastPacketAt)
-		halfOpen := entry.state == stateOpeningUnconfirmed || entry.state == stateOpeningQueued
-		if idle > limit || (entry.finished && idle > finishedFlowLifetime) || (halfOpen && idle > openingLifetime) {
-			delete(b.flows, key)
-		}
-	}
-	b.nextSweep = time.Time{}
-	if len(b.flows) > 0 {
-		b.nextSweep = now.Add(sweepInterval)
-	}
-}
--- a/internal/steering/lookup_batch.go
+++ b/internal/steering/lookup_batch.go
@@ -14,6 +14,9 @@
 	// interval (200 ms), not counting the time that the requests take on the link.
 	lookupResponseTimeout = 50 * time.Millisecond
 	maxLookupAttempts     = 3
+	// lookupUnresponsiveTime is how long lookups do not wait for an agent that has not
+	// responded to one. It is about as long as an agent takes to restart.
+	lookupUnresponsiveTime = 2 * time.Second
 	// lateResponseWindow is how long responses are accepted after a batch has ended.
 	lateResponseWindow = time.Second
 	// maxLookupsPerRequest keeps a request within one datagram of 1,200 bytes.
