--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -9,10 +9,13 @@
 	"sync"
 )
 
-// Hosts are 127.192.0.0 to 127.253.255.255. Fixed addresses of tests lie below.
+// Values of Host are 127.192.0.0 to 127.253.255.255, those of NumberedHost 127.128.0.0 to
+// 127.191.255.255. Fixed addresses of tests lie below.
 const (
-	firstSecondOctet = 192
-	secondOctets     = 62
+	firstSecondOctet         = 192
+	secondOctets             = 62
+	firstNumberedSecondOctet = 128
+	numberedSecondOctets     = 64
 )
 
 // Host is the loopback address of this process. It depends on the process ID, so that
@@ -27,6 +30,14 @@
 	return netip.AddrFrom4([4]byte{127, byte(firstSecondOctet + (processID>>16)%secondOctets), byte(processID >> 8), byte(processID)})
 }
 
+// NumberedHost returns one of 256 loopback addresses of this process, for processes of a
+// test that listen on the same port. Test processes that run at the same time have
+// different ones.
+func NumberedHost(number byte) netip.Addr {
+	processID := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(firstNumberedSecondOctet + (processID>>8)%numberedSecondOctets), byte(processID), number})
+}
+
 var (
 	mu sync.Mutex
 	// usedPorts holds the ports that FreeAddress has returned.
