steering, platform: the class of a route in forwarding headers

Cause: agents do not know the priority and the kind of a request, so that they can only admit openings in the order of arrival.

Balancers exclude upstreams for a named cause. Nothing decides on the class yet.

--- a/internal/steering/agent_opening.go
+++ b/internal/steering/agent_opening.go
@@ -69,6 +69,14 @@
 		return NotAccepting
 	case now.Before(a.rejectOpeningsUntil) && !header.LastAttempt:
 		return NoResponse
+	}
+	return a.admissionVerdict(header)
+}
+
+// admissionVerdict returns the cause for which the load of the upstream does not allow
+// an opening, or 0.
+func (a *Agent) admissionVerdict(header ForwardingHeader) Verdict {
+	switch {
 	case !header.LastAttempt && a.requestsInProgress() >= a.upstream.Slots:
 		return Busy
 	case !a.serviceTime.admits(a.requestsInProgress(), a.upstream.Slots, header.TimeBudget):
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -233,10 +233,19 @@
 func (b *Balancer) forward(entry *flowEntry, reason Reason, data []byte, actions *[]Action) {
 	*actions = append(*actions, Action{
 		Kind: Forward, Reason: reason, Flow: entry.key, To: entry.upstream.Address.Addr(), Data: data,
-		Header: ForwardingHeader{Service: entry.upstream.serviceTag},
+		Header: b.newForwardingHeader(entry, entry.upstream),
 	})
 }
 
+// newForwardingHeader returns the header of a packet for an upstream.
+func (b *Balancer) newForwardingHeader(entry *flowEntry, upstream *upstreamState) ForwardingHeader {
+	header := ForwardingHeader{Service: upstream.serviceTag}
+	if route := b.routes[entry.key.Virtual]; route != nil {
+		header.Class, header.ClassKnown = route.Class(), true
+	}
+	return header
+}
+
 // bufferPacket stores a packet until the holder of its flow is found.
 func (b *Balancer) bufferPacket(entry *flowEntry, data []byte, actions *[]Action) {
 	if len(entry.bufferedPackets) >= maxBufferedPackets {
--- a/internal/steering/holder_lookup.go
+++ b/internal/steering/holder_lookup.go
@@ -127,7 +127,7 @@
 	b.setDeadline(entry, now.Add(candidateTimeout))
 	for _, upstream := range entry.lookup.currentCandidates {
 		*actions = append(*actions, Action{
-			Kind: Forward, Reason: CandidateTried, Flow: entry.key, To: upstream.Address.Addr(), Data: entry.bufferedPackets[entry.lookup.smallestPacketIndex], Header: ForwardingHeader{Service: upstream.serviceTag},
+			Kind: Forward, Reason: CandidateTried, Flow: entry.key, To: upstream.Address.Addr(), Data: entry.bufferedPackets[entry.lookup.smallestPacketIndex], Header: b.newForwardingHeader(entry, upstream),
 		})
 	}
 }
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bramleyhold.example/bramleyhold/internal/flow"
+	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
@@ -53,6 +54,10 @@
 	// TimeBudget is the time that remains to answer the caller within the latency
 	// objective of its route.
 	TimeBudget time.Duration
+	// Class is the class of the route. ClassKnown is false in packets from balancers that
+	// do not send it.
+	Class      intent.Class
+	ClassKnown bool
 }
 
 // ActionKind selects the operation that an Action requests.
--- a/internal/steering/placement.go
+++ b/internal/steering/placement.go
@@ -1,7 +1,6 @@
 package steering
 
 import (
-	"slices"
 	"time"
 
 	"bramleyhold.example/bramleyhold/internal/intent"
@@ -35,9 +34,11 @@
 	entry.upstream, entry.state = selected, stateOpeningUnconfirmed
 	entry.attemptedAgents = append(entry.attemptedAgents, selected.Address.Addr())
 	b.setDeadline(entry, now.Add(openingResponseTimeout))
+	header := b.newForwardingHeader(entry, selected)
+	header.LastAttempt, header.TimeBudget = !hasMore, route.Objective-entry.callerWait(now)
 	*actions = append(*actions, Action{
 		Kind: Forward, Reason: reason, Flow: entry.key, To: selected.Address.Addr(), Data: entry.openingPacket,
-		Header:    ForwardingHeader{Service: selected.serviceTag, LastAttempt: !hasMore, TimeBudget: route.Objective - entry.callerWait(now)},
+		Header:    header,
 		Placement: PlacementInfo{Load: selected.requestsInProgress + selected.openingsSinceReport, Slots: selected.Slots, Age: now.Sub(selected.reportedAt), Attempt: len(entry.attemptedAgents)},
 	})
 }
@@ -56,15 +57,9 @@
 	members := b.serviceMembers[b.selectService(entry, route)]
 	anyAvoided, anyOverloaded := false, false
 	for _, upstream := range members {
-		if upstream.AcceptsOpenings() && now.Before(upstream.overloadedUntil) {
-			anyOverloaded = true
-			continue
-		}
-		if !upstream.AcceptsOpenings() || slices.Contains(entry.attemptedAgents, upstream.Address.Addr()) {
-			continue
-		}
-		if now.Before(upstream.avoidUntil) {
-			anyAvoided = true
+		if excluded := b.exclusionOf(now, upstream, entry); excluded != notExcluded {
+			anyOverloaded = anyOverloaded || excluded == excludedOverloaded
+			anyAvoided = anyAvoided || excluded == excludedAvoided
 			continue
 		}
 		score := upstream.loadScore(now, b)
@@ -90,7 +85,7 @@
 func (b *Balancer) earliestAvailable(now time.Time, entry *flowEntry, members []*upstreamState) *upstreamState {
 	var earliest *upstreamState
 	for _, upstream := range members {
-		if !upstream.AcceptsOpenings() || now.Before(upstream.overloadedUntil) || slices.Contains(entry.attemptedAgents, upstream.Address.Addr()) {
+		if b.exclusionOf(now, upstream, entry) != excludedAvoided {
 			continue
 		}
 		if earliest == nil || upstream.avoidUntil.Before(earliest.avoidUntil) {
