docs/design: interfaces of the parts for hard load; settings and terms

Cause: zones, warm-up, classes and learned capacity are built side by side.

Change: settings decode the bounds and contracts that these parts depend on, a desired state has the stated rate of cold upstreams, steering.Terms is what control tells balancers and agents. Nothing decides on them yet.

--- a/internal/fabric/config.go
+++ b/internal/fabric/config.go
@@ -53,6 +53,18 @@
 	// of VMs that may fail at the same time.
 	CountsAsLoss bool
 	MaxLosses    int
+	// MaxZoneLosses is the number of availability zones that may fail at the same time.
+	MaxZoneLosses int
+	// Zones lists the availability zones of the deployment, in no order.
+	Zones []zone.ID
+	// ZoneOrderBound is the time after which no zone that was taken out of service may
+	// get openings. Zero where zones are not taken out of service.
+	ZoneOrderBound time.Duration
+	// A cold upstream may get at most its stated rate times WarmUpOvershoot, and
+	// WarmUpSlack more, openings within any second.
+	WarmUpOvershoot, WarmUpSlack float64
+	// LearnsCapacity is set if agents learn how many requests their upstream takes well.
+	LearnsCapacity bool
 	// DataFolder is empty on a VM without a disk.
 	DataFolder  string
 	MemoryBytes int64
--- a/internal/intent/desired.go
+++ b/internal/intent/desired.go
@@ -52,6 +52,10 @@
 type DesiredService struct {
 	Name        service.Name `json:"name" cbor:"1,keyasint"`
 	Connections int          `json:"connections" cbor:"2,keyasint"`
+	// WarmUp is how long an upstream stays cold after its start. WarmUpRate is the
+	// requests per second that it bears while it is cold; 0 if no rate is stated.
+	WarmUp     time.Duration `json:"warm_up_ns,omitempty" cbor:"3,keyasint,omitempty"`
+	WarmUpRate float64       `json:"warm_up_rate,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
 // DesiredState is a complete configuration with a version. The highest version is
--- /dev/null
+++ b/internal/steering/terms.go
@@ -0,0 +1,28 @@
+package steering
+
+import (
+	"time"
+
+	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/zone"
+)
+
+// Terms is what the operators have ordered beyond the desired state: which zones are out
+// of service and how cold upstreams are treated. Control processes with a replica send it.
+type Terms struct {
+	// Revision orders terms. A process keeps those with the highest one.
+	Revision uint64
+	// ZonesOut lists the zones whose upstreams get no openings.
+	ZonesOut []zone.ID
+	// WarmUps has the services that state a rate for cold upstreams.
+	WarmUps []ServiceWarmUp
+}
+
+// ServiceWarmUp is how the cold upstreams of a service are treated.
+type ServiceWarmUp struct {
+	Service service.Name
+	// Duration is how long an upstream stays cold after its start. Rate is the requests
+	// per second that it bears meanwhile.
+	Duration time.Duration
+	Rate     float64
+}
