fabric: parts that lie in the receive buffer are not requested again

Cause: missing parts are requested 20 ms after the last one, also when the receiver has waited for its core for that long and the parts are in its receive buffer.

Change: when a request is due, the receiver sends an empty request to its own socket and requests the missing parts when it has received that one: all datagrams that arrived before it are handled by then.

--- a/internal/fabric/retransmission.go
+++ b/internal/fabric/retransmission.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -162,13 +163,45 @@
 	return false
 }
 
-// requestMissingParts sends the requests that are due and sets the timer for the next
-// ones. It runs in the goroutine of the timer.
-func (t *transport) requestMissingParts() {
+// checkMissingParts runs when requests are due, in the goroutine of the timer. It sends an
+// empty request to the socket of this process. When it is received, every datagram that
+// arrived before it has been handled, and the parts that are still missing are requested.
+//
+// Load pattern: the receiver waits for its core while a message of hundreds of parts
+// arrives. The parts lie in the receive buffer, and requests for them would make the
+// sender repeat up to the whole message.
+func (t *transport) checkMissingParts() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.requestTimerSet = false
 	now := time.Now()
+	if !t.requestDue(now) {
+		t.setRequestTimer(now)
+		return
+	}
+	self := t.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	if err := t.sendPart(self, kindMissingParts, 0, 0, 1, nil); err != nil {
+		t.requestMissingParts(now)
+		return
+	}
+	// The datagram is lost if the receive buffer is full.
+	t.requestTimerSet = true
+	time.AfterFunc(firstRequestInterval, t.checkMissingParts)
+}
+
+// requestDue reports whether a message waits for a request.
+func (t *transport) requestDue(now time.Time) bool {
+	for _, message := range t.incomplete {
+		if isResentByPart(message.kind) && !now.Before(message.requestDueAt()) {
+			return true
+		}
+	}
+	return false
+}
+
+// requestMissingParts sends the requests that are due and sets the timer for the next
+// ones. It is called with the lock held.
+func (t *transport) requestMissingParts(now time.Time) {
 	for key, message := range t.incomplete {
 		if !isResentByPart(message.kind) {
 			continue
@@ -210,11 +243,18 @@
 	}
 	t.requestTimerSet = true
 	// A stopped process sends nothing more: the socket is closed by then.
-	time.AfterFunc(max(next.Sub(now), time.Millisecond), t.requestMissingParts)
+	time.AfterFunc(max(next.Sub(now), time.Millisecond), t.checkMissingParts)
 }
 
-// handleMissingParts sends the requested parts of a message again.
+// handleMissingParts sends the requested parts of a message again. An empty request comes
+// from checkMissingParts.
 func (t *transport) handleMissingParts(from netip.Addr, request []byte) {
+	if len(request) == 0 && from == t.conn.LocalAddr().(*net.UDPAddr).AddrPort().Addr() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.requestMissingParts(time.Now())
+		return
+	}
 	if len(request) < messageNumberBytes {
 		return
 	}
--- a/internal/fabric/retransmission_test.go
+++ b/internal/fabric/retransmission_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"bramleyhold.example/bramleyhold/internal/loopback"
 )
 
 // receiveWithLoss calls the handlers for received messages like receiveMessages, but drops
@@ -82,6 +84,31 @@
 	require.NoError(t, errors.Join(receiver.conn.Close(), sender.conn.Close()))
 }
 
+// Guards against requests for parts that are in the receive buffer: a receiver that waited
+// for its core requested 1,265 of 1,250 parts again.
+func TestPartsInTheReceiveBufferAreNotRequested(t *testing.T) {
+	receiver, err := openTransport(loopback.NumberedHost(1), 0, 0)
+	require.NoError(t, err)
+	sender, err := openTransport(loopback.NumberedHost(2), 0, 0)
+	require.NoError(t, err)
+	receiver.resendPort = localPort(sender)
+	received, requested := make(chan string, 1), atomic.Int64{}
+	registerHandler(receiver, kindDesiredState, func(error) {}, func(_ netip.Addr, m *testMessage) { received <- m.Text })
+	receiver.countParts = func(_ string, parts int) { requested.Add(int64(parts)) }
+	text := strings.Repeat("x", 20*maxPartBytes)
+	require.NoError(t, sender.send(loopback.NumberedHost(1), localPort(receiver), kindDesiredState, testMessage{Text: text}))
+	buffer := make([]byte, receiveBufferBytes)
+	n, from, err := receiver.conn.ReadFromUDPAddrPort(buffer)
+	require.NoError(t, err)
+	receiver.handleDatagram(from, buffer[:n])
+	// The receiver gets no processor time for several intervals.
+	time.Sleep(3 * firstRequestInterval)
+	go func() { _ = receiver.receiveMessages() }()
+	require.Equal(t, text, <-received)
+	require.Zero(t, requested.Load())
+	require.NoError(t, errors.Join(receiver.conn.Close(), sender.conn.Close()))
+}
+
 // Guards against a message that consists of parts of two runs of a sender.
 func TestMessageNumbersOfTwoRunsDiffer(t *testing.T) {
 	numbers := map[uint32]bool{}
