fabric: a repeated request for parts is answered once

Cause: where the sender waits for its core, the receiver repeats its request after 40 ms, and the sender then answers both, one after the other.

--- a/internal/fabric/retransmission.go
+++ b/internal/fabric/retransmission.go
@@ -1,6 +1,7 @@
 package fabric
 
 import (
+	"bytes"
 	"encoding/binary"
 	"net"
 	"net/netip"
@@ -50,6 +51,9 @@
 	number  uint32
 	payload []byte
 	sentAt  time.Time
+	// lastRequest is the last request for parts of the message, handled at lastRequestAt.
+	lastRequest   []byte
+	lastRequestAt time.Time
 }
 
 // retainedMessages holds the latest sent messages, oldest first.
@@ -92,14 +96,36 @@
 func (r *retainedMessages) find(to netip.Addr, number uint32) (sentMessage, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, m := range r.messages {
-		if m.number == number && m.to.Addr() == to {
-			return m, true
-		}
+	if m := r.findLocked(to, number); m != nil {
+		return *m, true
 	}
 	return sentMessage{}, false
 }
 
+func (r *retainedMessages) findLocked(to netip.Addr, number uint32) *sentMessage {
+	for i := range r.messages {
+		if m := &r.messages[i]; m.number == number && m.to.Addr() == to {
+			return m
+		}
+	}
+	return nil
+}
+
+// isRepeated records a request for parts of a message. It reports whether the same request
+// was handled less than missingPartsDelay before. The receiver has then repeated it because
+// this process was late to handle the first one, and the parts are on their way.
+func (r *retainedMessages) isRepeated(now time.Time, to netip.Addr, number uint32, request []byte) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.findLocked(to, number)
+	if m == nil {
+		return false
+	}
+	repeated := now.Sub(m.lastRequestAt) < missingPartsDelay && bytes.Equal(m.lastRequest, request)
+	m.lastRequest, m.lastRequestAt = append(m.lastRequest[:0], request...), now
+	return repeated
+}
+
 // completedKeys holds the keys of the messages that were received last.
 type completedKeys struct {
 	keys map[messageKey]bool
@@ -258,8 +284,9 @@
 	if len(request) < messageNumberBytes {
 		return
 	}
-	message, ok := t.retained.find(from, binary.BigEndian.Uint32(request))
-	if !ok {
+	number := binary.BigEndian.Uint32(request)
+	message, ok := t.retained.find(from, number)
+	if !ok || t.retained.isRepeated(time.Now(), from, number, request) {
 		return
 	}
 	count := partCount(message.payload)
--- a/internal/fabric/retransmission_test.go
+++ b/internal/fabric/retransmission_test.go
@@ -147,6 +147,19 @@
 	require.Equal(t, 2, resent)
 }
 
+// Guards against parts that are sent twice because this process handled the first request
+// late and the receiver has repeated it: 1,310 of 1,250 parts were sent again.
+func TestRepeatedRequestsForPartsInARow(t *testing.T) {
+	r := retainedMessages{}
+	now, to := time.Unix(0, 0), unknownSender.Addr()
+	r.add(sentMessage{to: netip.AddrPortFrom(to, 1), number: 1, payload: []byte{1}, sentAt: now})
+	require.False(t, r.isRepeated(now, to, 1, []byte{1, 2}))
+	require.True(t, r.isRepeated(now.Add(missingPartsDelay-1), to, 1, []byte{1, 2}))
+	require.False(t, r.isRepeated(now.Add(missingPartsDelay), to, 1, []byte{1, 3}), "other parts")
+	require.False(t, r.isRepeated(now.Add(2*missingPartsDelay), to, 1, []byte{1, 3}), "the parts were lost")
+	require.False(t, r.isRepeated(now, to, 2, []byte{1, 2}), "no such message")
+}
+
 // Guards against a control process that keeps a large desired state once for each balancer
 // that it was sent to, and against one that keeps parts for ever.
 func TestRetainedMessages(t *testing.T) {
