intent, control: orders that take a zone out of service, and back

Callers saw: nothing of a zone could be taken out of service; operators' orders were not kept anywhere.

Cause: the replicated log had no change for it.

Change: a change of kind "zone" sets the state of a zone in the intent, independent of the version of the desired state. An operator's order has a base revision and an operation id like other changes. An order of a platform without ids is conditional on the number of orders that its zone has had: one that arrives after a later order has no effect, one for the state that the zone has is accepted again and makes no revision. Orders that change nothing are counted too, because they may acknowledge a withdrawal whose order is delayed.

--- a/internal/control/state_machine.go
+++ b/internal/control/state_machine.go
@@ -79,8 +79,8 @@
 	content := snapshotContent{State: state, RecentChanges: m.RecentChanges}
 	switch {
 	case state.Revision == m.State.Revision:
-	case change.Kind == intent.KindDesired:
-		// Nodes get a desired state in a snapshot, never as a delta.
+	case change.HasNoBaseRevision():
+		// Nodes get the state in a snapshot, since a delta of such changes has no order.
 		content.RecentChanges = nil
 	default:
 		content.RecentChanges = appendRecentChange(m.RecentChanges, acceptedChange{Change: change, Size: size}, m.recentBytes)
--- a/internal/intent/change.go
+++ b/internal/intent/change.go
@@ -37,6 +37,8 @@
 	// KindDesired replaces the versioned desired state. The change has no base
 	// revision and no operation id, because its version serves as both.
 	KindDesired Kind = "desired"
+	// KindZone takes an availability zone out of service or returns it to service.
+	KindZone Kind = "zone"
 )
 
 // Change is a request of an operator or of the control leader to change the
@@ -52,6 +54,7 @@
 	Contract     *ContractRule `json:"contract,omitempty"`
 	Remove       *RemoveRule   `json:"forget,omitempty"`
 	Desired      *DesiredState `json:"desired,omitempty"`
+	Zone         *ZoneOrder    `json:"zone,omitempty"`
 }
 
 // TrafficRule enables or disables the traffic of a service.
@@ -102,10 +105,15 @@
 // recorded for another change, the change is rejected. A change without an
 // operation id is not recorded.
 func Apply(s *State, c Change) (*State, Result) {
-	if c.Kind == KindDesired && c.Desired != nil {
+	switch {
+	case c.Kind == KindDesired && c.Desired != nil:
 		next := s.Clone()
 		result := next.applyDesired(c.Desired)
 		return next, result
+	case c.isConditionalZoneOrder():
+		next := s.Clone()
+		result := next.applyConditionalZoneOrder(c.Zone)
+		return next, result
 	}
 	hash := c.contentHash()
 	if op, ok := s.findOperation(c.OperationID); ok {
@@ -250,6 +258,8 @@
 		return s.setContract(*c.Contract)
 	case c.Kind == KindRemove && c.Remove != nil:
 		return s.removeRetiredVMs(*c.Remove)
+	case c.Kind == KindZone && c.Zone != nil:
+		return s.orderZone(c.Zone)
 	}
 	return "", &InvalidChangeError{Object: "change", Name: string(c.Kind), Reason: "unknown kind or missing content"}
 }
--- a/internal/intent/state.go
+++ b/internal/intent/state.go
@@ -79,6 +79,8 @@
 	History       []HistoryEntry `json:"history"`
 	// Desired is the versioned desired state, if one has been set.
 	Desired *DesiredState `json:"desired,omitempty"`
+	// Zones has the zones about which orders have been accepted, sorted by region and name.
+	Zones []ZoneState `json:"zones,omitempty"`
 }
 
 // Operation is the recorded result of the first change with an operation id.
@@ -124,6 +126,7 @@
 	c.Services = slices.Clone(s.Services)
 	c.Operations = slices.Clone(s.Operations)
 	c.History = slices.Clone(s.History)
+	c.Zones = slices.Clone(s.Zones)
 	return &c
 }
 
--- a/internal/intent/validate.go
+++ b/internal/intent/validate.go
@@ -39,6 +39,8 @@
 		c.Contract.validate(&l)
 	case c.Kind == KindRemove && c.Remove != nil:
 		c.Remove.validate(&l)
+	case c.Kind == KindZone && c.Zone != nil:
+		c.Zone.validate(&l)
 	default:
 		l.Errorf(finding.Location{Object: "change", Field: "kind"}, "%.20q: unknown kind or missing content", c.Kind)
 	}
