steering: no openings into a zone that is out of service

Callers saw: openings were placed in every zone.

Change: balancers and agents keep the terms with the highest revision. A balancer excludes the upstreams of zones that are out and places their load by score in all other zones; it refuses openings at once, with a reason of its own, if all upstreams of the service that could accept them are in such zones. An agent rejects openings while its zone is out, whatever balancers send, and until control has told it after its start, for at most ZoneOrderBound. Open flows stay.

--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -6,6 +6,7 @@
 
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/zone"
 )
 
 const (
@@ -27,6 +28,10 @@
 // AgentConfig holds the settings of an agent.
 type AgentConfig struct {
 	Service service.Name
+	Zone    zone.ID
+	// ZoneOrderBound is the time after which no zone that was taken out of service may get
+	// openings. Zero where zones are not taken out of service.
+	ZoneOrderBound time.Duration
 	// CheckInInterval is the interval between check-ins of the upstream.
 	CheckInInterval time.Duration
 	// IdleTimeout is the time without packets after which a flow is removed.
@@ -73,6 +78,9 @@
 	stageCounts [stageCount]int
 	serviceTime serviceTimeEstimator
 	nextSweep   time.Time
+	// terms are the latest ones received. They are valid if termsKnown is set.
+	terms      Terms
+	termsKnown bool
 }
 
 // NewAgent returns an agent that has received no check-in.
--- a/internal/steering/agent_opening.go
+++ b/internal/steering/agent_opening.go
@@ -70,6 +70,9 @@
 	case now.Before(a.rejectOpeningsUntil) && !header.LastAttempt:
 		return NoResponse
 	}
+	if verdict := a.zoneVerdict(now); verdict != 0 {
+		return verdict
+	}
 	return a.admissionVerdict(header)
 }
 
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -77,6 +77,9 @@
 	lastLookupID  uint32
 	nextBatchAt   time.Time
 	lookupLimiter *rate.Limiter
+	// terms are the latest ones received. They are valid if termsKnown is set.
+	terms      Terms
+	termsKnown bool
 	// directoryComplete is set once the directory has listed all upstreams.
 	directoryComplete bool
 }
--- a/internal/steering/balancer_opening.go
+++ b/internal/steering/balancer_opening.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"bramleyhold.example/bramleyhold/internal/intent"
-	"bramleyhold.example/bramleyhold/internal/view"
 )
 
 const (
@@ -83,6 +82,10 @@
 // is queued if an upstream may accept it before the caller gives up. Otherwise it is
 // refused.
 func (b *Balancer) queueOrRefuse(now time.Time, entry *flowEntry, route *intent.Route, actions *[]Action) {
+	if b.noZoneInService(entry, route) {
+		b.refuseOpening(entry, ZonesOutOfService, actions)
+		return
+	}
 	if b.noUpstreamExpected(entry, route) || now.Sub(entry.createdAt) >= openingLifetime-openingResponseTimeout {
 		b.refuseOpening(entry, NoUpstream, actions)
 		return
@@ -94,13 +97,13 @@
 
 // noUpstreamExpected reports whether no upstream of the service can accept the
 // opening soon. This requires a complete list of upstreams in which none of the
-// service is ready, starting or suspected.
+// service is ready, starting or suspected in a zone that is in service.
 func (b *Balancer) noUpstreamExpected(entry *flowEntry, route *intent.Route) bool {
 	if !b.directoryComplete {
 		return false
 	}
 	for _, upstream := range b.serviceMembers[b.selectService(entry, route)] {
-		if upstream.Status != view.Left && upstream.Status != view.Leaving && upstream.Status != view.Failed {
+		if upstream.mayAcceptSoon() && !b.terms.isOut(upstream.Zone) {
 			return false
 		}
 	}
@@ -151,7 +154,7 @@
 // passed.
 func (b *Balancer) handleRejected(now time.Time, entry *flowEntry, upstream *upstreamState, message *Message, actions *[]Action) {
 	switch message.Verdict {
-	case NotAccepting, OtherService, StatusUnknown, NoResponse, Refused:
+	case NotAccepting, OtherService, StatusUnknown, NoResponse, Refused, ZoneOutOfService, ZoneUndetermined:
 		upstream.avoidUntil = now.Add(rejectedAvoidTime)
 	case Overloaded:
 		upstream.overloadedUntil = now.Add(overloadedAvoidTime)
--- a/internal/steering/exclusion.go
+++ b/internal/steering/exclusion.go
@@ -12,6 +12,8 @@
 	notExcluded exclusion = iota
 	// excludedStatus: the upstream is starting, leaving or failed.
 	excludedStatus
+	// excludedZone: its availability zone is out of service.
+	excludedZone
 	// excludedOverloaded: it has rejected an opening as overloaded shortly before.
 	excludedOverloaded
 	// excludedAttempted: it was sent this opening before.
@@ -26,6 +28,8 @@
 	switch {
 	case !upstream.AcceptsOpenings():
 		return excludedStatus
+	case b.terms.isOut(upstream.Zone):
+		return excludedZone
 	case now.Before(upstream.overloadedUntil):
 		return excludedOverloaded
 	case slices.Contains(entry.attemptedAgents, upstream.Address.Addr()):
--- a/internal/steering/message.go
+++ b/internal/steering/message.go
@@ -75,12 +75,18 @@
 	// FlowUndetermined: the agent started after its upstream and has received no packet
 	// of the flow, so the upstream may hold it.
 	FlowUndetermined
+	// ZoneOutOfService: the availability zone of the upstream is out of service.
+	ZoneOutOfService
+	// ZoneUndetermined: the agent has just started and does not know yet whether its zone
+	// is out of service.
+	ZoneUndetermined
 )
 
 // verdictNames has the names of verdicts in log lines and metrics. The strings are
 // fixed; they stay when a Go name changes.
 var verdictNames = [...]string{
 	Busy: "busy", Overloaded: "overloaded", NotAccepting: "leaving", StatusUnknown: "unready", NoResponse: "silent", Refused: "refused", OtherService: "foreign",
+	ZoneOutOfService: "zone_out", ZoneUndetermined: "zone_unsure",
 	FlowHeld: "holds", FlowNotHeld: "holds_not", FlowUndetermined: "unsure",
 }
 
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -111,9 +111,12 @@
 	// AllOverloaded: the opening is refused because upstreams have rejected it, or others
 	// shortly before, as overloaded.
 	// NoneAccepted: no upstream has accepted the opening so far.
-	AllOverloaded  Reason = "overloaded"
-	NoneAccepted   Reason = "none_answered"
-	NoDesiredState Reason = "no_desired_state"
+	AllOverloaded Reason = "overloaded"
+	NoneAccepted  Reason = "none_answered"
+	// ZonesOutOfService: the opening is refused because all upstreams of the service that
+	// could accept it are in zones that are out of service.
+	ZonesOutOfService Reason = "zones_out"
+	NoDesiredState    Reason = "no_desired_state"
 	// NotReady: the opening is rejected. Its verdict has the cause.
 	NotReady Reason = "not_ready"
 	NotHeld  Reason = "not_held"
--- a/internal/steering/terms.go
+++ b/internal/steering/terms.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"slices"
 	"time"
 
 	"bramleyhold.example/bramleyhold/internal/service"
@@ -26,3 +27,12 @@
 	Duration time.Duration
 	Rate     float64
 }
+
+// isOut reports whether a zone is out of service.
+func (t *Terms) isOut(id zone.ID) bool { return slices.Contains(t.ZonesOut, id) }
+
+// replaces reports whether terms are to be used instead of previous ones, which are
+// invalid unless known is set.
+func (t *Terms) replaces(previous *Terms, known bool) bool {
+	return !known || t.Revision > previous.Revision
+}
--- a/internal/steering/upstream_state.go
+++ b/internal/steering/upstream_state.go
@@ -53,6 +53,11 @@
 	u.requestsInProgress, u.openFlows, u.reportedAt, u.openingsSinceReport, u.lookupUnresponsiveUntil = int(message.Load), int(message.Flows), now, 0, time.Time{}
 }
 
+// mayAcceptSoon reports whether the upstream is ready, starting or suspected.
+func (u *upstreamState) mayAcceptSoon() bool {
+	return u.Status != view.Left && u.Status != view.Leaving && u.Status != view.Failed
+}
+
 // loadScore returns the expected load as a share of the slots. The upstream with the
 // lowest score is selected.
 func (u *upstreamState) loadScore(now time.Time, b *Balancer) float64 {
--- /dev/null
+++ b/internal/steering/zone_test.go
@@ -0,0 +1,112 @@
+package steering_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bramleyhold.example/bramleyhold/internal/steering"
+	"bramleyhold.example/bramleyhold/internal/view"
+	"bramleyhold.example/bramleyhold/internal/zone"
+)
+
+var thirdZone = zone.ID{Region: "si", Name: "c"}
+
+func termsWithout(revision uint64, zones ...zone.ID) steering.Terms {
+	return steering.Terms{Revision: revision, ZonesOut: zones}
+}
+
+// Load pattern: a zone is taken out of service while its agents restart and balancers lag
+// behind. No agent may let openings in, whatever balancers send, and flows stay open.
+func TestAgentEnforcesZoneOrders(t *testing.T) {
+	const bound = 5 * time.Second
+	newAgent := func() *agentHarness {
+		a := &agentHarness{t: t, now: start, Agent: steering.NewAgent(steering.AgentConfig{
+			Service: orders, Zone: ownZone, ZoneOrderBound: bound, IdleTimeout: 20 * time.Second, MaxFlows: 100, StartedAt: start,
+		})}
+		require.True(t, a.checkIn(newCheckIn(1, 0, view.Ready)))
+		return a
+	}
+	verdict := func(a *agentHarness, port uint16) steering.Verdict {
+		action := a.handleCallerPacket(openingPacket(port), asLastAttempt(ownHeader))[0]
+		if action.Kind == steering.Deliver {
+			return 0
+		}
+		require.Equal(t, steering.OpeningRejected, action.Message.Kind)
+		return action.Message.Verdict
+	}
+
+	a := newAgent()
+	require.Equal(t, steering.ZoneUndetermined, verdict(a, 1), "control has not told the agent yet")
+	require.True(t, a.SetTerms(a.now, termsWithout(7)))
+	a.openFlow(1)
+	require.True(t, a.SetTerms(a.now, termsWithout(8, ownZone, otherZone)))
+	require.Equal(t, steering.ZoneOutOfService, verdict(a, 2))
+	require.Equal(t, steering.Deliver, a.handleCallerPacket(callerPacket(1, 10), ownHeader)[0].Kind, "open flows stay")
+	require.False(t, a.SetTerms(a.now, termsWithout(7)), "from a control process that is behind")
+	require.False(t, a.SetTerms(a.now, termsWithout(8)))
+	require.Equal(t, steering.ZoneOutOfService, verdict(a, 2))
+	require.True(t, a.SetTerms(a.now, termsWithout(9, otherZone)))
+	require.Zero(t, verdict(a, 2))
+
+	a = newAgent()
+	a.now = start.Add(bound - 1)
+	require.Equal(t, steering.ZoneUndetermined, verdict(a, 1))
+	a.now = start.Add(bound)
+	require.Zero(t, verdict(a, 1), "no control process is reachable")
+	require.True(t, a.SetTerms(a.now, termsWithout(0, ownZone)))
+	require.Equal(t, steering.ZoneOutOfService, verdict(a, 2))
+
+	a = newReadyAgent(t)
+	require.Zero(t, verdict(a, 1), "where zones are not taken out of service, agents do not wait")
+}
+
+// Load pattern: the balancers of a zone that is taken out of service place the openings of
+// its callers elsewhere. The other zones must get them by load, and must not get less than
+// two thirds or more than four thirds of their share.
+func TestLoadOfZoneOutIsSpread(t *testing.T) {
+	b := newBalancerHarness(t, newUpstream(1, orders, ownZone, view.Ready), newUpstream(2, orders, ownZone, view.Ready),
+		newUpstream(3, orders, otherZone, view.Ready), newUpstream(4, orders, otherZone, view.Ready),
+		newUpstream(5, orders, thirdZone, view.Ready), newUpstream(6, orders, thirdZone, view.Ready))
+	require.True(t, b.SetTerms(b.now, termsWithout(1, ownZone)))
+	placed := map[zone.ID]int{}
+	zones := map[int]zone.ID{1: ownZone, 2: ownZone, 3: otherZone, 4: otherZone, 5: thirdZone, 6: thirdZone}
+	const openings = 90
+	for port := range uint16(openings) {
+		placed[zones[agentNumber(b.handlePacket(openingPacket(port + 1))[0].To)]]++
+		b.now = b.now.Add(10 * time.Millisecond)
+	}
+	require.Zero(t, placed[ownZone])
+	for _, id := range []zone.ID{otherZone, thirdZone} {
+		require.InDelta(t, openings/2, placed[id], openings/6, "%v", placed)
+	}
+	require.True(t, b.SetTerms(b.now, termsWithout(2)))
+	require.Equal(t, ownZone, zones[agentNumber(b.handlePacket(openingPacket(1000))[0].To)])
+}
+
+// A balancer that has not learned of an order must place the opening elsewhere, and the
+// next ones as well.
+func TestBalancerLearnsOfZoneOrderFromAgent(t *testing.T) {
+	b := newBalancerHarness(t, newUpstream(1, orders, ownZone, view.Ready), newUpstream(2, orders, otherZone, view.Ready))
+	require.Equal(t, agentAddress(1), b.handlePacket(openingPacket(1))[0].To)
+	require.Equal(t, agentAddress(2), b.handleMessage(1, steering.Message{Kind: steering.OpeningRejected, Verdict: steering.ZoneOutOfService, Sequence: 100})[0].To)
+	require.Equal(t, agentAddress(2), b.handlePacket(openingPacket(2))[0].To)
+}
+
+// A service without a zone in service must refuse its callers at once, and must serve
+// those that wait for an upstream as soon as a zone is back.
+func TestNoZoneInService(t *testing.T) {
+	b := newBalancerHarness(t, newUpstream(1, orders, ownZone, view.Ready), newUpstream(2, orders, otherZone, view.Starting))
+	require.True(t, b.SetTerms(b.now, termsWithout(1, ownZone, otherZone)))
+	refused := b.handlePacket(openingPacket(1))[0]
+	require.Equal(t, steering.Reset, refused.Kind)
+	require.Equal(t, steering.ZonesOutOfService, refused.Reason)
+
+	require.True(t, b.SetTerms(b.now, termsWithout(2, ownZone)))
+	require.Equal(t, steering.OpeningQueued, b.handlePacket(openingPacket(2))[0].Kind, "an upstream in the other zone is starting")
+	require.True(t, b.SetTerms(b.now, termsWithout(3)))
+	b.RetryPending(b.now, false, &b.actions)
+	require.Equal(t, agentAddress(1), b.takeActions()[0].To)
+	require.False(t, b.SetTerms(b.now, termsWithout(4)), "a later revision with the same zones")
+}
