--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -87,8 +87,11 @@
 	desiredVersion uint64
 	nextFetchAt    time.Time
 	leader         netip.Addr
-	connected      bool
-	complete       bool
+	// awaitsTerms is set while the process cannot serve without the terms that control
+	// processes send besides their responses.
+	awaitsTerms bool
+	connected   bool
+	complete    bool
 }
 
 // controlState is the state of one control process, as this client has received it.
@@ -144,6 +147,10 @@
 // SetVersion sets the version of the desired state that the process has.
 func (c *Client) SetVersion(version uint64) { c.desiredVersion, c.nextFetchAt = version, time.Time{} }
 
+// SetAwaitsTerms sets whether the process cannot serve without terms. It then sends
+// requests like one that lacks a desired state.
+func (c *Client) SetAwaitsTerms(awaits bool) { c.awaitsTerms = awaits }
+
 // SetSeeds replaces the control processes that the settings list. Others, learned
 // from responses, stay as long as they respond.
 func (c *Client) SetSeeds(now time.Time, seeds []netip.Addr) {
@@ -228,7 +235,7 @@
 
 // starting reports whether the process lacks the state that it needs to serve.
 func (c *Client) starting() bool {
-	return !c.connected || (c.cfg.Subscribe && c.cfg.Self.Role == vm.RoleBalancer && c.desiredVersion == 0)
+	return !c.connected || c.awaitsTerms || (c.cfg.Subscribe && c.cfg.Self.Role == vm.RoleBalancer && c.desiredVersion == 0)
 }
 
 // currentSyncInterval returns the interval until the next request.
--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -41,6 +41,8 @@
 	// actionCounters counts actions by kind and reason.
 	actionCounters actionCounters
 	stopping       bool
+	// awaitsTerms is set while openings are rejected until control has sent terms.
+	awaitsTerms bool
 }
 
 // NewAgent opens the sockets of an agent. Run processes packets.
@@ -66,11 +68,14 @@
 		requests, flows := a.core.Load()
 		a.setGauge("flows", flows)
 		a.setGauge("requests", requests)
+		a.endWaitForTerms(now)
 	}
 	shared.nextDeadline = a.core.Deadline
 	a.execute = a.executeAction
 	registerHandler(shared.transport, kindSteering, shared.countRejected, a.handleBalancerMessage)
 	registerHandler(shared.transport, kindSyncResponse, shared.countRejected, a.handleSyncResponse)
+	registerHandler(shared.transport, kindTerms, shared.countRejected, a.handleTerms)
+	a.setAwaitsTerms(cfg.ZoneOrderBound > 0)
 	return a, nil
 }
 
@@ -84,6 +89,7 @@
 	}
 	return steering.AgentConfig{
 		Service: cfg.Service, CheckInInterval: cfg.CheckInInterval, IdleTimeout: maxFlowAge, MaxFlows: cfg.maxFlows(), StartedAt: startedAt,
+		Zone: cfg.Zone, ZoneOrderBound: cfg.ZoneOrderBound,
 	}
 }
 
--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -72,6 +72,7 @@
 	b.execute = b.executeAction
 	registerHandler(shared.transport, kindSteering, shared.countRejected, b.handleAgentMessage)
 	registerHandler(shared.transport, kindSyncResponse, shared.countRejected, b.handleSyncResponse)
+	registerHandler(shared.transport, kindTerms, shared.countRejected, b.handleTerms)
 	shared.transport.handlers[kindDesiredState] = b.handleDesiredState
 	return b, nil
 }
--- a/internal/fabric/control.go
+++ b/internal/fabric/control.go
@@ -43,8 +43,10 @@
 	// encodedDesired caches the encoded desired state of encodedVersion.
 	encodedDesired []byte
 	encodedVersion uint64
-	joinPeers      joinPeers
-	known          knownProcesses
+	// terms is guarded by the lock.
+	terms     publishedTerms
+	joinPeers joinPeers
+	known     knownProcesses
 	// learnerSince is when the replica was opened or made a learner, or zero while it is a
 	// voter.
 	learnerSince   time.Time
@@ -63,7 +65,7 @@
 	now := time.Now()
 	self := shared.directoryClient.Self()
 	self.Status = view.Ready
-	c := &Control{node: shared, known: knownProcesses{path: knownProcessesPath(cfg.DataFolder)}, requestTimeout: defaultRequestTimeout, openFolder: logstore.OpenFolder}
+	c := &Control{node: shared, known: knownProcesses{path: knownProcessesPath(cfg.DataFolder)}, requestTimeout: defaultRequestTimeout, openFolder: logstore.OpenFolder, terms: publishedTerms{always: cfg.ZoneOrderBound > 0}}
 	const bitsPerByte = 8
 	c.directoryServer = directory.NewServer(directory.ServerConfig{
 		Epoch: newRandom().Uint64(), Self: self, StartedAt: now, AlwaysServesRecords: c.hasReplica(), LinkBytesPerSecond: cfg.LinkBitsPerSecond / bitsPerByte,
@@ -133,6 +135,7 @@
 		c.Log.WithField("version", version).Info("desired state accepted")
 		c.sendSyncResponses(c.directoryServer.StatusUpdates(time.Now()))
 	}
+	c.updateTerms(&state)
 }
 
 // leaderAddress returns the zero address if there is no leader.
@@ -162,6 +165,9 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.sendSyncResponses(c.directoryServer.HandleSyncRequest(now, request))
+	if c.terms.due(now, &request.Self) {
+		c.sendTerms(&request.Self)
+	}
 	c.resetTimer(now)
 }
 
--- a/internal/fabric/control_replica.go
+++ b/internal/fabric/control_replica.go
@@ -106,6 +106,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.directoryServer.Leader = netip.Addr{}
+	c.terms.withdraw()
 	c.joinPeers = joinPeers{}
 }
 
--- /dev/null
+++ b/internal/fabric/terms.go
@@ -0,0 +1,156 @@
+package fabric
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"bramleyhold.example/bramleyhold/internal/consensus"
+	"bramleyhold.example/bramleyhold/internal/control"
+	"bramleyhold.example/bramleyhold/internal/directory"
+	"bramleyhold.example/bramleyhold/internal/intent"
+	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/steering"
+	"bramleyhold.example/bramleyhold/internal/vm"
+)
+
+const (
+	// termsResendInterval is how often one control process sends unchanged terms to the
+	// same process. With five of them, a process that has lost a datagram gets the terms
+	// again within half a second on average.
+	termsResendInterval = 2 * time.Second
+	// termsStartPeriod is the time after the first request of a process in which each
+	// of its requests is answered with terms: its agent rejects openings without them.
+	termsStartPeriod = 2 * time.Second
+	// termsRecipientLifetime is when a process that sends no requests is forgotten.
+	termsRecipientLifetime = 30 * time.Second
+)
+
+// termsOf returns the terms of an intent state. Their revision is that of the state.
+// publishedTerms keeps the first revision that it has seen them at.
+func termsOf(state *intent.State) steering.Terms {
+	terms := steering.Terms{Revision: state.Revision, ZonesOut: state.ZonesOut()}
+	if state.Desired == nil {
+		return terms
+	}
+	for _, svc := range state.Desired.Services {
+		if svc.WarmUp > 0 && svc.WarmUpRate > 0 {
+			terms.WarmUps = append(terms.WarmUps, steering.ServiceWarmUp{Service: svc.Name, Duration: svc.WarmUp, Rate: svc.WarmUpRate})
+		}
+	}
+	return terms
+}
+
+// termsFor returns the part of terms that a process needs. An agent gets the rate of its
+// own service only.
+func termsFor(terms *steering.Terms, role vm.Role, name service.Name) steering.Terms {
+	part := *terms
+	if role == vm.RoleUpstream {
+		part.WarmUps = nil
+		for _, warmUp := range terms.WarmUps {
+			if warmUp.Service == name {
+				part.WarmUps = []steering.ServiceWarmUp{warmUp}
+			}
+		}
+	}
+	return part
+}
+
+// sameTerms compares terms without their revisions.
+func sameTerms(a, b *steering.Terms) bool {
+	return slices.Equal(a.ZonesOut, b.ZonesOut) && slices.Equal(a.WarmUps, b.WarmUps)
+}
+
+// publishedTerms holds the terms of the replica of this process and decides which
+// processes get them.
+//
+// Load pattern: 80 processes send a sync request every 300 ms in turn to eight control
+// processes, and all of them at once after a loss of power.
+type publishedTerms struct {
+	// always is set if the settings say that zones are taken out of service.
+	always bool
+	terms  steering.Terms
+	// known is set once the state of a replica has been received, the last one with
+	// stateRevision.
+	known         bool
+	stateRevision uint64
+	// confirmed is set while the replica is a voter that knows a leader. The state of
+	// another one may lack orders that have been acknowledged.
+	confirmed bool
+	leads     bool
+	// anyOrder is set if a zone has had an order.
+	anyOrder   bool
+	recipients map[netip.Addr]termsRecipient
+	nextSweep  time.Time
+}
+
+// termsRecipient is a process that has sent sync requests.
+type termsRecipient struct {
+	processIncarnation          uint64
+	firstRequestAt, lastRequest time.Time
+	sentAt                      time.Time
+	sentRevision                uint64
+}
+
+// update takes over a state of the replica. It reports whether the terms must be sent to
+// all known processes: this replica leads, and either has just become the leader or the
+// terms have changed.
+func (p *publishedTerms) update(state *control.ReplicaState) (sendToAll bool) {
+	isVoter := slices.ContainsFunc(state.Voters, func(r consensus.ReplicaID) bool { return r == state.Self })
+	p.confirmed = isVoter && state.Leader != ""
+	led := p.leads
+	p.leads = p.confirmed && state.Role == consensus.Leader
+	changed := false
+	if !p.known || state.State.Revision != p.stateRevision {
+		terms := termsOf(state.State)
+		if changed = !p.known || !sameTerms(&terms, &p.terms); changed {
+			p.terms = terms
+		}
+		p.known, p.stateRevision, p.anyOrder = true, state.State.Revision, len(state.State.Zones) > 0
+	}
+	return p.leads && (changed || !led) && p.hasContent()
+}
+
+// withdraw stops the sending of terms while no replica is open.
+func (p *publishedTerms) withdraw() { p.confirmed, p.leads = false, false }
+
+// hasContent reports whether there is anything to tell.
+func (p *publishedTerms) hasContent() bool {
+	return p.confirmed && (p.always || p.anyOrder || len(p.terms.WarmUps) > 0)
+}
+
+// due reports whether the sender of a sync request gets terms now, and records it.
+func (p *publishedTerms) due(now time.Time, sender *directory.Record) bool {
+	if !p.hasContent() || sender.Role == vm.RoleControl {
+		return false
+	}
+	p.forgetExpired(now)
+	recipient, found := p.recipients[sender.Address]
+	if !found || recipient.processIncarnation != sender.ProcessIncarnation {
+		recipient = termsRecipient{processIncarnation: sender.ProcessIncarnation, firstRequestAt: now}
+	}
+	due := recipient.sentAt.IsZero() || recipient.sentRevision != p.terms.Revision ||
+		now.Sub(recipient.firstRequestAt) < termsStartPeriod || now.Sub(recipient.sentAt) >= termsResendInterval
+	if due {
+		recipient.sentAt, recipient.sentRevision = now, p.terms.Revision
+	}
+	recipient.lastRequest = now
+	if p.recipients == nil {
+		p.recipients = map[netip.Addr]termsRecipient{}
+	}
+	p.recipients[sender.Address] = recipient
+	return due
+}
+
+// forgetExpired removes the recipients that have sent no request for a long time.
+func (p *publishedTerms) forgetExpired(now time.Time) {
+	if now.Before(p.nextSweep) {
+		return
+	}
+	p.nextSweep = now.Add(termsRecipientLifetime)
+	for address, recipient := range p.recipients {
+		if now.Sub(recipient.lastRequest) >= termsRecipientLifetime {
+			delete(p.recipients, address)
+		}
+	}
+}
