ctl, view: bramleyctl zone drain, return and status

Operators saw: no command took a zone out of service.

Change: zone orders of the inventory's rules, in the replicated log like other changes (base revision, operation id, dry run). The view gives upstreams of a zone that is out of service the status leaving, as for VMs that leave: no new work, open flows stay. zone status shows the zones of the inventory, confirmed by a majority.

Figures: go test ./internal/ctl ./internal/view passes; the tests were not run before the change; they do not compile without it.

--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -53,6 +53,7 @@
 			a.inventoryCommands(),
 			a.serviceCommands(),
 			a.vmCommands(),
+			a.zoneCommands(),
 			a.statusCommand(),
 			a.historyCommand(),
 			a.explainCommands(),
--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -179,6 +179,8 @@
 			change.Contract.Service, contract.Idempotent, contract.Shape, contract.QueueDeadline, contract.Priority)
 	case change.Remove != nil:
 		return change.Remove.String()
+	case change.Zone != nil:
+		return change.Zone.Summary()
 	}
 	return string(change.Kind)
 }
--- a/internal/ctl/commands_test.go
+++ b/internal/ctl/commands_test.go
@@ -12,6 +12,7 @@
 	"bramleyhold.example/bramleyhold/internal/controlapi"
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/zone"
 )
 
 // Guards against a command that proposes another change than its arguments state,
@@ -25,6 +26,9 @@
 		{"service traffic kilnlog off", "service kilnlog traffic off"},
 		{"vm leave orders-3", "vm orders-3 leaves"},
 		{"vm return orders-3", "vm orders-3 returns"},
+		{"zone drain kamnik/smarca", "zone kamnik/smarca out of service"},
+		{"zone return kamnik/smarca", "zone kamnik/smarca in service"},
+		{"zone drain kamnik/mesto", "zone kamnik/mesto out of service"},
 		{"service contract orders --shape long", "shape=long queue-deadline=2s priority=survival"},
 		{"service contract orders --idempotent --queue-deadline 0s", "idempotent=true shape=long queue-deadline=0s"},
 		{"service contract orders --idempotent=false --priority balance", "idempotent=false shape=long queue-deadline=0s priority=balance"},
@@ -37,6 +41,14 @@
 	}
 	kilnlog, _ := c.currentState().FindService("kilnlog")
 	require.False(t, kilnlog.Traffic)
+	require.Equal(t, []zone.ID{{Region: "kamnik", Name: "mesto"}}, c.currentState().ZonesOut())
+	var zones zonesOutput
+	shown := runCLI(t, "zone", "status", "--json", "--control", f.address)
+	require.NoError(t, json.Unmarshal([]byte(shown.stdout), &zones))
+	require.Equal(t, zoneStatus{Zone: zone.ID{Region: "kamnik", Name: "smarca"}, Upstreams: 3, Orders: 2}, zones.Zones[2])
+	require.True(t, zones.Zones[1].Out)
+	shown = runCLI(t, "zone", "status", "--control", f.address)
+	require.Regexp(t, `kamnik/mesto +out`, shown.stdout)
 	orders, _ := c.currentState().FindService("orders")
 	require.Equal(t, service.Contract{Shape: service.ShapeLongFlows, Priority: service.PriorityBalance}, orders.Contract)
 }
@@ -65,7 +77,7 @@
 	} {
 		require.Contains(t, result.stderr, want)
 	}
-	for _, args := range [][]string{{}, {"staus"}, {"vm"}, {"vm", "stop", "x"}, {"status", "--nope"}, {"service", "contract", "orders"}, {"history", "--limit", "0"}} {
+	for _, args := range [][]string{{}, {"staus"}, {"vm"}, {"vm", "stop", "x"}, {"zone", "drain", "mesto"}, {"zone", "drain"}, {"status", "--nope"}, {"service", "contract", "orders"}, {"history", "--limit", "0"}} {
 		require.Equal(t, ExitUsage, runCLI(t, args...).code, args)
 	}
 }
@@ -81,6 +93,7 @@
 		name   string
 	}{
 		"rejected by the server": {[]string{"vm", "leave", "nobody"}, nil, ExitRejected, "rejected"},
+		"unknown zone":           {[]string{"zone", "drain", "kamnik/elsewhere"}, nil, ExitRejected, "rejected"},
 		"unknown service":        {[]string{"service", "contract", "nobody", "--shape", "long"}, nil, ExitRejected, "rejected"},
 		"invalid inventory":      {[]string{"inventory", "import", "../inventory/testdata/values.csv"}, nil, ExitRejected, "rejected"},
 		"missing file":           {[]string{"inventory", "import", "absent.csv"}, nil, ExitFailure, "failure"},
--- a/internal/intent/zones.go
+++ b/internal/intent/zones.go
@@ -106,7 +106,7 @@
 	case current.Out != o.Out:
 		s.setZone(o)
 		s.Revision++
-		s.History = appendBounded(s.History, HistoryEntry{Revision: s.Revision, Summary: o.summary()}, maxHistory)
+		s.History = appendBounded(s.History, HistoryEntry{Revision: s.Revision, Summary: o.Summary()}, maxHistory)
 	}
 	return Result{Outcome: Accepted, Revision: s.Revision}
 }
@@ -122,7 +122,7 @@
 		return "", &InvalidChangeError{Object: "zone", Name: o.Zone().String(), Reason: "has no VM in the inventory"}
 	}
 	s.setZone(o)
-	return o.summary(), nil
+	return o.Summary(), nil
 }
 
 // setZone sets the state of a zone and counts the order.
@@ -139,7 +139,8 @@
 	s.Zones[i].Orders++
 }
 
-func (o *ZoneOrder) summary() string {
+// Summary describes the order in one line.
+func (o *ZoneOrder) Summary() string {
 	if o.Out {
 		return fmt.Sprintf("zone %s out of service", o.Zone())
 	}
--- a/internal/intent/zones_test.go
+++ b/internal/intent/zones_test.go
@@ -39,7 +39,7 @@
 			{true, 0, intent.Accepted, true, 1}, {false, 1, intent.Accepted, false, 2}, {true, 2, intent.Accepted, true, 3}, {false, 1, intent.Conflict, true, 3},
 		},
 		"an order and its withdrawal cross": {{false, 0, intent.Accepted, false, 0}, {true, 0, intent.Conflict, false, 0}, {true, 1, intent.Accepted, true, 1}},
-		"two operators at once":            {{true, 0, intent.Accepted, true, 1}, {false, 0, intent.Conflict, true, 1}},
+		"two operators at once":             {{true, 0, intent.Accepted, true, 1}, {false, 0, intent.Conflict, true, 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			state := &intent.State{}
--- a/internal/view/admit.go
+++ b/internal/view/admit.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/ranking"
 	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/vm"
+	"bramleyhold.example/bramleyhold/internal/zone"
 )
 
 // inventoryMember is a VM of the inventory with the live member that runs on it.
@@ -24,6 +26,7 @@
 	inventory := matchInventory(state, members)
 	resolveAddressConflicts(inventory)
 	upstreams := make(map[service.Name][]Upstream, len(state.Services))
+	zonesOut := state.ZonesOut()
 	for i := range inventory {
 		entry := &inventory[i]
 		if entry.member == nil {
@@ -35,7 +38,7 @@
 			v.balancerAddresses[ranking.MemberHash(entry.member.VM)] = entry.member.Address
 		case vm.RoleUpstream:
 			name := entry.member.Service
-			upstreams[name] = append(upstreams[name], entry.toUpstream())
+			upstreams[name] = append(upstreams[name], entry.toUpstream(zonesOut))
 		case vm.RoleControl:
 		}
 	}
@@ -118,8 +121,8 @@
 
 // toUpstream returns the upstream of an entry that has a member. Its status is
 // Failed if it lost its address, and Leaving instead of Ready if the VM is not
-// active in the inventory.
-func (m *inventoryMember) toUpstream() Upstream {
+// active in the inventory or its zone is out of service.
+func (m *inventoryMember) toUpstream(zonesOut []zone.ID) Upstream {
 	announced := m.member
 	u := Upstream{
 		VM: announced.VM, Hash: ranking.MemberHash(announced.VM), Zone: announced.Zone, Address: announced.Address,
@@ -129,7 +132,7 @@
 	switch {
 	case m.lostAddress:
 		u.Status = Failed
-	case m.inventoryVM.Status != intent.Active && announced.Status == Ready:
+	case announced.Status == Ready && (m.inventoryVM.Status != intent.Active || slices.Contains(zonesOut, announced.Zone)):
 		u.Status = Leaving
 	}
 	return u
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -66,6 +66,20 @@
 	return list
 }
 
+// Upstreams of a zone that is out of service must get no openings and keep their flows.
+// They must be used again when the zone is back.
+func TestUpstreamsOfZoneOutOfService(t *testing.T) {
+	state := newState(inventoryUpstream("a", "orders", intent.Active), inventoryUpstream("b", "orders", intent.Active))
+	state.VMs[1].Zone.Name = "y"
+	members := []view.Member{newMember("a", "orders", 1, 1), modifiedMember(newMember("b", "orders", 2, 1), func(m *view.Member) { m.Zone.Name = "y" })}
+	state.Zones = []intent.ZoneState{{Region: testZone.Region, Name: testZone.Name, Out: true}}
+	v := view.Build(state, members, nil, buildTime)
+	require.Equal(t, []string{"a:leaving", "b:ready"}, memberStatuses(v, "orders"))
+	require.True(t, v.ServiceByName("orders").Members[0].Reachable())
+	state.Zones[0].Out = false
+	require.Equal(t, []string{"a:ready", "b:ready"}, memberStatuses(view.Build(state, members, v, buildTime), "orders"))
+}
+
 // Guards against members that do not match the inventory, and against openings
 // for VMs that are leaving.
 func TestMembersAreCheckedAgainstInventory(t *testing.T) {
