steering, fabric: agents accept the terms of a majority without a leader

Cause: only replicas that know a leader sent terms.

Change: each voter sends its terms and says whether it knows a leader. An agent that has none yet uses the latest of a majority of the voters. A replica applies committed orders only, so that a later revision is right without a leader, too.

--- a/internal/fabric/terms.go
+++ b/internal/fabric/terms.go
@@ -9,7 +9,6 @@
 	"bramleyhold.example/bramleyhold/internal/control"
 	"bramleyhold.example/bramleyhold/internal/directory"
 	"bramleyhold.example/bramleyhold/internal/intent"
-	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/steering"
 	"bramleyhold.example/bramleyhold/internal/vm"
 )
@@ -41,19 +40,19 @@
 	return terms
 }
 
-// termsFor returns the part of terms that a process needs. An agent gets the rate of its
-// own service only.
-func termsFor(terms *steering.Terms, role vm.Role, name service.Name) steering.Terms {
-	part := *terms
-	if role == vm.RoleUpstream {
-		part.WarmUps = nil
-		for _, warmUp := range terms.WarmUps {
-			if warmUp.Service == name {
-				part.WarmUps = []steering.ServiceWarmUp{warmUp}
+// reportFor returns the part of the terms that a process needs. An agent gets the rate of
+// its own service only.
+func (p *publishedTerms) reportFor(to *directory.Record) *steering.TermsReport {
+	report := &steering.TermsReport{Terms: p.terms, Confirmed: p.confirmed, Voters: p.voters}
+	if to.Role == vm.RoleUpstream {
+		report.Terms.WarmUps = nil
+		for _, warmUp := range p.terms.WarmUps {
+			if warmUp.Service == to.Service {
+				report.Terms.WarmUps = []steering.ServiceWarmUp{warmUp}
 			}
 		}
 	}
-	return part
+	return report
 }
 
 // sameTerms compares terms without their revisions.
@@ -74,8 +73,10 @@
 	// stateRevision.
 	known         bool
 	stateRevision uint64
-	// confirmed is set while the replica is a voter that knows a leader. The state of
-	// another one may lack orders that have been acknowledged.
+	// voters is the number of voters while the replica is one of them, or 0. The state of
+	// a learner lacks orders that have been acknowledged.
+	voters int
+	// confirmed is set while the replica is a voter that knows a leader.
 	confirmed bool
 	leads     bool
 	// anyOrder is set if a zone has had an order.
@@ -96,8 +97,11 @@
 // all known processes: this replica leads, and either has just become the leader or the
 // terms have changed.
 func (p *publishedTerms) update(state *control.ReplicaState) (sendToAll bool) {
-	isVoter := slices.ContainsFunc(state.Voters, func(r consensus.ReplicaID) bool { return r == state.Self })
-	p.confirmed = isVoter && state.Leader != ""
+	p.voters = 0
+	if slices.Contains(state.Voters, state.Self) {
+		p.voters = len(state.Voters)
+	}
+	p.confirmed = p.voters > 0 && state.Leader != ""
 	led := p.leads
 	p.leads = p.confirmed && state.Role == consensus.Leader
 	changed := false
@@ -112,11 +116,11 @@
 }
 
 // withdraw stops the sending of terms while no replica is open.
-func (p *publishedTerms) withdraw() { p.confirmed, p.leads = false, false }
+func (p *publishedTerms) withdraw() { p.voters, p.confirmed, p.leads = 0, false, false }
 
 // hasContent reports whether there is anything to tell.
 func (p *publishedTerms) hasContent() bool {
-	return p.confirmed && (p.always || p.anyOrder || len(p.terms.WarmUps) > 0)
+	return p.voters > 0 && (p.always || p.anyOrder || len(p.terms.WarmUps) > 0)
 }
 
 // due reports whether the sender of a sync request gets terms now, and records it.
--- a/internal/fabric/transport.go
+++ b/internal/fabric/transport.go
@@ -25,7 +25,7 @@
 	kindConsensus
 	// kindMissingParts requests parts of a message again. The transport handles it.
 	kindMissingParts
-	// kindTerms carries steering.Terms from control to balancers and agents.
+	// kindTerms carries steering.TermsReport from control to balancers and agents.
 	kindTerms
 	kindCount
 )
--- a/internal/fabric/zone_orders.go
+++ b/internal/fabric/zone_orders.go
@@ -113,11 +113,13 @@
 
 // sendTerms sends the terms to a balancer or an agent. It is called with the lock held.
 func (c *Control) sendTerms(to *directory.Record) {
-	terms := termsFor(&c.terms.terms, to.Role, to.Service)
-	c.countSendError(c.transport.send(to.Address, c.cfg.NodePort, kindTerms, &terms))
+	c.countSendError(c.transport.send(to.Address, c.cfg.NodePort, kindTerms, c.terms.reportFor(to)))
 }
 
-func (b *Balancer) handleTerms(from netip.Addr, terms *steering.Terms) {
+// handleTerms applies the latest terms, confirmed or not: a replica applies committed
+// orders only, and agents enforce them.
+func (b *Balancer) handleTerms(from netip.Addr, report *steering.TermsReport) {
+	terms := &report.Terms
 	b.lockAndRunDecision(func(now time.Time, out *[]steering.Action) {
 		if !b.core.SetTerms(now, *terms) {
 			return
@@ -128,19 +130,19 @@
 	})
 }
 
-func (a *Agent) handleTerms(from netip.Addr, terms *steering.Terms) {
+func (a *Agent) handleTerms(from netip.Addr, report *steering.TermsReport) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
 	wasOut := a.core.ZoneOut()
-	if !a.core.SetTerms(now, *terms) {
+	if !a.core.HandleTerms(now, from, report) {
 		return
 	}
 	if a.awaitsTerms || wasOut != a.core.ZoneOut() {
-		a.Log.WithFields(logrus.Fields{"zone": a.cfg.Zone, "out": a.core.ZoneOut(), "revision": terms.Revision, "control": from}).Info("state of the own zone received")
+		a.Log.WithFields(logrus.Fields{"zone": a.cfg.Zone, "out": a.core.ZoneOut(), "revision": report.Terms.Revision, "confirmed": report.Confirmed, "control": from}).Info("state of the own zone received")
 	}
 	a.setAwaitsTerms(false)
-	a.setGauge("zones.out", len(terms.ZonesOut))
+	a.setGauge("zones.out", a.core.ZonesOut())
 	a.resetTimer(now)
 }
 
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -79,8 +79,9 @@
 	serviceTime serviceTimeEstimator
 	nextSweep   time.Time
 	// terms are the latest ones received. They are valid if termsKnown is set.
-	terms      Terms
-	termsKnown bool
+	terms       Terms
+	termsKnown  bool
+	unconfirmed unconfirmedTerms
 }
 
 // NewAgent returns an agent that has received no check-in.
--- a/internal/steering/agent_zone.go
+++ b/internal/steering/agent_zone.go
@@ -1,6 +1,42 @@
 package steering
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
+
+// unconfirmedTerms collects the terms of control processes that know no leader, until a
+// majority of the voters has sent theirs. Every acknowledged order is among the latest of
+// these, unless its commit was not recorded before the processes stopped; the next leader
+// then tells it.
+//
+// Load pattern: all processes are killed or lose power. Replicas have their state a second
+// before they have elected a leader, and every opening waits for the agents.
+type unconfirmedTerms struct {
+	senders map[netip.Addr]bool
+	latest  Terms
+}
+
+// add records a report. It reports whether a majority of the voters has sent theirs.
+func (u *unconfirmedTerms) add(from netip.Addr, report *TermsReport) (majority bool) {
+	if u.senders == nil {
+		u.senders = map[netip.Addr]bool{}
+	}
+	if report.Terms.replaces(&u.latest, len(u.senders) > 0) {
+		u.latest = report.Terms
+	}
+	u.senders[from] = true
+	return len(u.senders) > report.Voters/2
+}
+
+// HandleTerms handles the terms of a control process. It reports whether they were
+// applied.
+func (a *Agent) HandleTerms(now time.Time, from netip.Addr, report *TermsReport) (applied bool) {
+	if report.Confirmed || a.termsKnown {
+		return a.SetTerms(now, report.Terms)
+	}
+	return a.unconfirmed.add(from, report) && a.SetTerms(now, a.unconfirmed.latest)
+}
 
 // SetTerms applies terms unless the agent has later ones. It reports whether they were
 // applied.
@@ -9,7 +45,7 @@
 		return false
 	}
 	wasOut := a.termsKnown && a.terms.isOut(a.cfg.Zone)
-	a.terms, a.termsKnown = terms, true
+	a.terms, a.termsKnown, a.unconfirmed = terms, true, unconfirmedTerms{}
 	if wasOut && !terms.isOut(a.cfg.Zone) {
 		a.presumeCold(now)
 	}
@@ -24,6 +60,9 @@
 // ZoneOut reports whether the zone of the agent is out of service, as far as it knows.
 func (a *Agent) ZoneOut() bool { return a.termsKnown && a.terms.isOut(a.cfg.Zone) }
 
+// ZonesOut returns the number of zones that are out of service.
+func (a *Agent) ZonesOut() int { return len(a.terms.ZonesOut) }
+
 // zoneVerdict returns the cause for which the state of the zone does not allow an
 // opening, or 0.
 //
--- a/internal/steering/terms.go
+++ b/internal/steering/terms.go
@@ -19,6 +19,18 @@
 	WarmUps []ServiceWarmUp
 }
 
+// TermsReport has the terms of one control process.
+type TermsReport struct {
+	_ struct{} `cbor:",toarray"`
+
+	Terms Terms
+	// Confirmed is set if the replica of the process is a voter that knows a leader. If it
+	// is not set, the replica may lack orders that have been acknowledged.
+	Confirmed bool
+	// Voters is the number of voters that the replica knows of.
+	Voters int
+}
+
 // ServiceWarmUp is how the cold upstreams of a service are treated.
 type ServiceWarmUp struct {
 	Service service.Name
--- a/internal/steering/zone_test.go
+++ b/internal/steering/zone_test.go
@@ -1,6 +1,7 @@
 package steering_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -62,6 +63,31 @@
 	require.Zero(t, verdict(a, 1), "where zones are not taken out of service, agents do not wait")
 }
 
+// Load pattern: all processes are killed while a zone is out of service. Agents must serve
+// before control has a leader, and no replica that was behind may bring the zone back.
+func TestTermsWithoutLeader(t *testing.T) {
+	controls := []netip.Addr{netip.MustParseAddr("10.9.0.1"), netip.MustParseAddr("10.9.0.2"), netip.MustParseAddr("10.9.0.3")}
+	newAgent := func() *steering.Agent {
+		return steering.NewAgent(steering.AgentConfig{Service: orders, Zone: ownZone, ZoneOrderBound: 5 * time.Second, MaxFlows: 100, StartedAt: start})
+	}
+	behind := &steering.TermsReport{Terms: termsWithout(0), Voters: 5}
+	current := &steering.TermsReport{Terms: termsWithout(4, ownZone), Voters: 5}
+
+	a := newAgent()
+	require.False(t, a.HandleTerms(start, controls[0], behind))
+	require.False(t, a.HandleTerms(start, controls[0], behind), "the same process again")
+	require.False(t, a.HandleTerms(start, controls[1], current))
+	require.True(t, a.AwaitsTerms(start))
+	require.True(t, a.HandleTerms(start, controls[2], behind))
+	require.True(t, a.ZoneOut(), "the latest of a majority")
+	require.False(t, a.AwaitsTerms(start))
+
+	a = newAgent()
+	require.True(t, a.HandleTerms(start, controls[0], &steering.TermsReport{Terms: termsWithout(4), Confirmed: true, Voters: 5}))
+	require.True(t, a.HandleTerms(start, controls[1], &steering.TermsReport{Terms: termsWithout(5, ownZone), Voters: 5}), "later ones are true without a leader")
+	require.True(t, a.ZoneOut())
+}
+
 // Load pattern: the balancers of a zone that is taken out of service place the openings of
 // its callers elsewhere. The other zones must get them by load, and must not get less than
 // two thirds or more than four thirds of their share.
