steering, fabric, intent: agents notice missed orders and suspensions

Change: an agent that was suspended for more than half of ZoneOrderBound awaits terms again, for at most the bound. The state of a zone counts how often it was returned; an agent calls presumeCold when that number has risen. Rejected openings are counted by verdict.

The soak takes zones out of service during the faults and checks after the bound that no opening reaches their upstreams; the last order stays in force after the faults.

--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -148,8 +148,13 @@
 func (c *Client) SetVersion(version uint64) { c.desiredVersion, c.nextFetchAt = version, time.Time{} }
 
 // SetAwaitsTerms sets whether the process cannot serve without terms. It then sends
-// requests like one that lacks a desired state.
-func (c *Client) SetAwaitsTerms(awaits bool) { c.awaitsTerms = awaits }
+// requests like one that lacks a desired state, the first ones with the next Tick.
+func (c *Client) SetAwaitsTerms(now time.Time, awaits bool) {
+	if awaits && !c.awaitsTerms {
+		c.startingRounds, c.nextSyncAt = 0, now
+	}
+	c.awaitsTerms = awaits
+}
 
 // SetSeeds replaces the control processes that the settings list. Others, learned
 // from responses, stay as long as they respond.
--- a/internal/fabric/action_counters.go
+++ b/internal/fabric/action_counters.go
@@ -39,3 +39,21 @@
 	}
 	counter.Inc(1)
 }
+
+// rejectionCounters counts rejected openings by verdict. It caches the counters.
+type rejectionCounters struct {
+	registry metrics.Registry
+	counters map[steering.Verdict]metrics.Counter
+}
+
+func (c *rejectionCounters) increment(verdict steering.Verdict) {
+	if c.counters == nil {
+		c.counters = map[steering.Verdict]metrics.Counter{}
+	}
+	counter := c.counters[verdict]
+	if counter == nil {
+		counter = metrics.GetOrRegisterCounter("openings.rejected."+verdict.String(), c.registry)
+		c.counters[verdict] = counter
+	}
+	counter.Inc(1)
+}
--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -41,6 +41,8 @@
 	// actionCounters counts actions by kind and reason.
 	actionCounters actionCounters
 	stopping       bool
+	// rejections counts rejected openings by verdict.
+	rejections rejectionCounters
 	// awaitsTerms is set while openings are rejected until control has sent terms.
 	awaitsTerms bool
 }
@@ -60,7 +62,7 @@
 		return nil, errors.Join(fmt.Errorf("open outbound socket: %w", err), packetConn.Close(), shared.close())
 	}
 	a := &Agent{
-		packetProcessor: packetProcessor{node: shared}, packetConn: packetConn, outboundConn: outboundConn, actionCounters: newActionCounters(deps.Registry),
+		packetProcessor: packetProcessor{node: shared}, packetConn: packetConn, outboundConn: outboundConn, actionCounters: newActionCounters(deps.Registry), rejections: rejectionCounters{registry: deps.Registry},
 		core: steering.NewAgent(newAgentConfig(&cfg, time.Now())),
 	}
 	shared.onTimer = func(now time.Time) {
@@ -68,14 +70,14 @@
 		requests, flows := a.core.Load()
 		a.setGauge("flows", flows)
 		a.setGauge("requests", requests)
-		a.endWaitForTerms(now)
+		a.updateAwaitsTerms(now, false)
 	}
 	shared.nextDeadline = a.core.Deadline
 	a.execute = a.executeAction
 	registerHandler(shared.transport, kindSteering, shared.countRejected, a.handleBalancerMessage)
 	registerHandler(shared.transport, kindSyncResponse, shared.countRejected, a.handleSyncResponse)
 	registerHandler(shared.transport, kindTerms, shared.countRejected, a.handleTerms)
-	a.setAwaitsTerms(cfg.ZoneOrderBound > 0)
+	a.updateAwaitsTerms(time.Now(), false)
 	return a, nil
 }
 
@@ -278,6 +280,9 @@
 			// recordLookupVerdicts writes an entry for each flow.
 		case steering.OpeningAccepted:
 			a.Decisions.LogRateLimited(entry)
+		case steering.OpeningRejected:
+			a.rejections.increment(action.Message.Verdict)
+			a.Decisions.LogAlways(entry)
 		default:
 			a.Decisions.LogAlways(entry)
 		}
--- a/internal/fabric/terms.go
+++ b/internal/fabric/terms.go
@@ -45,6 +45,9 @@
 func (p *publishedTerms) reportFor(to *directory.Record) *steering.TermsReport {
 	report := &steering.TermsReport{Terms: p.terms, Confirmed: p.confirmed, Voters: p.voters}
 	if to.Role == vm.RoleUpstream {
+		if i := slices.IndexFunc(p.zones, func(z intent.ZoneState) bool { return z.Zone() == to.Zone }); i >= 0 {
+			report.Terms.OwnZoneReturns = p.zones[i].Returns
+		}
 		report.Terms.WarmUps = nil
 		for _, warmUp := range p.terms.WarmUps {
 			if warmUp.Service == to.Service {
@@ -55,9 +58,10 @@
 	return report
 }
 
-// sameTerms compares terms without their revisions.
-func sameTerms(a, b *steering.Terms) bool {
-	return slices.Equal(a.ZonesOut, b.ZonesOut) && slices.Equal(a.WarmUps, b.WarmUps)
+// sameZone compares two states of a zone without the number of orders, which changes
+// nothing for balancers and agents.
+func sameZone(a, b intent.ZoneState) bool {
+	return a.Zone() == b.Zone() && a.Out == b.Out && a.Returns == b.Returns
 }
 
 // publishedTerms holds the terms of the replica of this process and decides which
@@ -69,6 +73,8 @@
 	// always is set if the settings say that zones are taken out of service.
 	always bool
 	terms  steering.Terms
+	// zones has the zones that have had orders.
+	zones []intent.ZoneState
 	// known is set once the state of a replica has been received, the last one with
 	// stateRevision.
 	known         bool
@@ -79,8 +85,6 @@
 	// confirmed is set while the replica is a voter that knows a leader.
 	confirmed bool
 	leads     bool
-	// anyOrder is set if a zone has had an order.
-	anyOrder   bool
 	recipients map[netip.Addr]termsRecipient
 	nextSweep  time.Time
 }
@@ -107,10 +111,11 @@
 	changed := false
 	if !p.known || state.State.Revision != p.stateRevision {
 		terms := termsOf(state.State)
-		if changed = !p.known || !sameTerms(&terms, &p.terms); changed {
+		changed = !p.known || !slices.EqualFunc(state.State.Zones, p.zones, sameZone) || !slices.Equal(terms.WarmUps, p.terms.WarmUps)
+		if changed {
 			p.terms = terms
 		}
-		p.known, p.stateRevision, p.anyOrder = true, state.State.Revision, len(state.State.Zones) > 0
+		p.known, p.stateRevision, p.zones = true, state.State.Revision, state.State.Zones
 	}
 	return p.leads && (changed || !led) && p.hasContent()
 }
@@ -120,7 +125,7 @@
 
 // hasContent reports whether there is anything to tell.
 func (p *publishedTerms) hasContent() bool {
-	return p.voters > 0 && (p.always || p.anyOrder || len(p.terms.WarmUps) > 0)
+	return p.voters > 0 && (p.always || len(p.zones) > 0 || len(p.terms.WarmUps) > 0)
 }
 
 // due reports whether the sender of a sync request gets terms now, and records it.
--- a/internal/fabric/terms_test.go
+++ b/internal/fabric/terms_test.go
@@ -55,6 +55,10 @@
 	require.True(t, p.update(replicaStateWith(consensus.Leader, stateWithZoneOut(1))))
 	require.Equal(t, []zone.ID{testZone}, p.terms.ZonesOut)
 	require.False(t, p.update(replicaStateWith(consensus.Leader, stateWithZoneOut(2))), "the zones have not changed")
+	returned := &intent.State{Revision: 4, Zones: []intent.ZoneState{{Region: testZone.Region, Name: testZone.Name, Orders: 4, Returns: 2}}}
+	require.True(t, p.update(replicaStateWith(consensus.Leader, returned)))
+	require.EqualValues(t, 2, p.reportFor(&directory.Record{Role: vm.RoleUpstream, Zone: testZone}).Terms.OwnZoneReturns)
+	require.Zero(t, p.reportFor(agent).Terms.OwnZoneReturns)
 	p.withdraw()
 	require.False(t, p.due(now, agent))
 	require.True(t, p.update(replicaStateWith(consensus.Leader, stateWithZoneOut(2))), "leader again")
--- a/internal/fabric/zone_orders.go
+++ b/internal/fabric/zone_orders.go
@@ -135,30 +135,31 @@
 	defer a.mu.Unlock()
 	now := time.Now()
 	wasOut := a.core.ZoneOut()
-	if !a.core.HandleTerms(now, from, report) {
-		return
-	}
-	if a.awaitsTerms || wasOut != a.core.ZoneOut() {
+	applied := a.core.HandleTerms(now, from, report)
+	if (applied && wasOut != a.core.ZoneOut()) || (a.awaitsTerms && !a.core.AwaitsTerms(now)) {
 		a.Log.WithFields(logrus.Fields{"zone": a.cfg.Zone, "out": a.core.ZoneOut(), "revision": report.Terms.Revision, "confirmed": report.Confirmed, "control": from}).Info("state of the own zone received")
 	}
-	a.setAwaitsTerms(false)
+	a.updateAwaitsTerms(now, true)
 	a.setGauge("zones.out", a.core.ZonesOut())
 	a.resetTimer(now)
 }
 
-// setAwaitsTerms sets whether this agent requests terms from all control processes. It is
-// called with the lock held.
-func (a *Agent) setAwaitsTerms(awaits bool) {
+// updateAwaitsTerms requests terms from all control processes while the agent awaits them.
+// received is set if the wait may have ended because they were received. It is called with
+// the lock held.
+func (a *Agent) updateAwaitsTerms(now time.Time, received bool) {
+	awaits := a.core.AwaitsTerms(now)
+	if awaits == a.awaitsTerms {
+		return
+	}
 	a.awaitsTerms = awaits
-	a.directoryClient.SetAwaitsTerms(awaits)
-}
-
-// endWaitForTerms ends the wait for terms when ZoneOrderBound has passed without any.
-func (a *Agent) endWaitForTerms(now time.Time) {
-	if a.awaitsTerms && !a.core.AwaitsTerms(now) {
-		a.setAwaitsTerms(false)
+	a.directoryClient.SetAwaitsTerms(now, awaits)
+	entry := a.Log.WithFields(logrus.Fields{"zone": a.cfg.Zone, "bound_ms": a.cfg.ZoneOrderBound.Milliseconds()})
+	switch {
+	case awaits:
+		entry.Info("openings are rejected until control has told whether the own zone is in service")
+	case !received:
 		a.incrementCounter("terms.not_received")
-		a.Log.WithFields(logrus.Fields{"zone": a.cfg.Zone, "waited_ms": a.cfg.ZoneOrderBound.Milliseconds()}).
-			Warn("no control process has told whether the own zone is in service; openings are delivered")
+		entry.Warn("no control process has told whether the own zone is in service; openings are delivered")
 	}
 }
--- a/internal/intent/zones.go
+++ b/internal/intent/zones.go
@@ -37,6 +37,9 @@
 	// Orders counts the accepted orders about the zone, those that changed nothing
 	// included.
 	Orders uint64 `json:"orders"`
+	// Returns counts how often the zone was returned to service. An agent that has missed
+	// an order and its withdrawal learns from it that its upstream may be cold.
+	Returns uint64 `json:"returns"`
 }
 
 // Zone returns the zone that the state is about.
@@ -129,14 +132,18 @@
 func (s *State) setZone(o *ZoneOrder) {
 	i := s.zoneIndex(o.Zone())
 	if i < 0 {
-		s.Zones = append(s.Zones, ZoneState{Region: o.Region, Name: o.Name, Out: o.Out, Orders: 1})
+		s.Zones = append(s.Zones, ZoneState{Region: o.Region, Name: o.Name})
 		slices.SortFunc(s.Zones, func(a, b ZoneState) int {
 			return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Name, b.Name))
 		})
-		return
+		i = s.zoneIndex(o.Zone())
 	}
-	s.Zones[i].Out = o.Out
-	s.Zones[i].Orders++
+	current := &s.Zones[i]
+	if current.Out && !o.Out {
+		current.Returns++
+	}
+	current.Out = o.Out
+	current.Orders++
 }
 
 // Summary describes the order in one line.
--- a/internal/intent/zones_test.go
+++ b/internal/intent/zones_test.go
@@ -68,6 +68,10 @@
 	require.Equal(t, []zone.ID{{Region: "at", Name: "a"}}, state.ZonesOut())
 	require.EqualValues(t, 7, state.Desired.Version)
 	require.EqualValues(t, 4, state.Revision)
+	require.EqualValues(t, 1, state.ZoneState(zoneA).Returns)
+	state, result = intent.Apply(state, conditionalOrder(false, 2))
+	require.Equal(t, intent.Accepted, result.Outcome, result.Reason)
+	require.EqualValues(t, 1, state.ZoneState(zoneA).Returns, "it was in service")
 }
 
 // An operator's order has a base revision and an operation id like other changes, and
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -106,6 +106,10 @@
 	// faultEnds is the end of the last unplanned fault of each VM. It is in the
 	// future while the fault lasts.
 	faultEnds map[netip.Addr]time.Time
+	// zoneOut is the zone whose order out of service was acknowledged at zoneOutSince, or
+	// "".
+	zoneOut      string
+	zoneOutSince time.Time
 }
 
 type acknowledgedVersion struct {
@@ -126,7 +130,7 @@
 		routedServices: map[netip.AddrPort]map[string]bool{}, faultEnds: map[netip.Addr]time.Time{},
 	}
 	seeds := []netip.Addr{d.hostAddress(firstBalancerHost), d.hostAddress(firstBalancerHost + 1), d.hostAddress(firstBalancerHost + 2)}
-	zone := func(i int) string { return string(rune('a' + i%3)) }
+	zone := func(i int) string { return zoneNames[i%len(zoneNames)] }
 	for i := range balancerCount {
 		settings := platformtest.Settings{
 			Name: fmt.Sprintf("edge-%d", i), Class: "edge", Zone: zone(i), Address: d.hostAddress(firstBalancerHost + i), PacketPort: packetPort,
--- a/internal/soak/desired_state.go
+++ b/internal/soak/desired_state.go
@@ -47,7 +47,7 @@
 	d.mu.Unlock()
 	body := platformtest.EncodeDesired(version, routes, serviceNames...)
 	for deadline := time.Now().Add(timeout); time.Now().Before(deadline) && ctx.Err() == nil; sleepContext(ctx, 100*time.Millisecond) {
-		status, _ := d.callControl(ctx, http.MethodPut, random.IntN(voterCount), body)
+		status, _ := d.callControl(ctx, http.MethodPut, random.IntN(voterCount), platformtest.DesiredPath, body)
 		switch {
 		case status == http.StatusOK:
 			d.mu.Lock()
@@ -66,8 +66,8 @@
 
 // callControl calls a control process as the operator does. Status 0 means that there
 // was no response.
-func (d *deployment) callControl(ctx context.Context, method string, index int, body []byte) (status int, responseBody []byte) {
-	url := "http://" + netip.AddrPortFrom(d.controlProcesses()[index].address(), controlPort).String() + platformtest.DesiredPath
+func (d *deployment) callControl(ctx context.Context, method string, index int, path string, body []byte) (status int, responseBody []byte) {
+	url := "http://" + netip.AddrPortFrom(d.controlProcesses()[index].address(), controlPort).String() + path
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
@@ -98,7 +98,7 @@
 // version. It reports whether the process responded.
 func (d *deployment) checkDesiredState(ctx context.Context, index int) bool {
 	sentAt := time.Now()
-	status, body := d.callControl(ctx, http.MethodGet, index, nil)
+	status, body := d.callControl(ctx, http.MethodGet, index, platformtest.DesiredPath, nil)
 	if status != http.StatusOK {
 		return false
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -110,6 +110,8 @@
 	sleepContext(ctx, 2*time.Second)
 
 	faultCtx, cancelFaults := context.WithTimeout(ctx, d.options.FaultDuration)
+	background.Add(1)
+	go func() { defer background.Done(); d.orderZones(faultCtx) }()
 	d.injectFaults(faultCtx, random, mode)
 	cancelFaults()
 	d.logEvent("faults end")
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -19,7 +19,7 @@
 // record a breach of its kind.
 func TestEachCheckRecordsItsBreach(t *testing.T) {
 	key := flowKey{netip.MustParseAddrPort("127.80.0.201:1024"), virtualAddresses[0]}
-	agent := &process{settings: platformtest.Settings{Address: netip.MustParseAddr("127.80.0.101")}}
+	agent := &process{settings: platformtest.Settings{Zone: "a", Address: netip.MustParseAddr("127.80.0.101")}}
 	for name, test := range map[string]struct {
 		act  func(d *deployment, u *upstream)
 		kind string
@@ -33,6 +33,18 @@
 			u.leaveAcknowledgedAt = time.Now().Add(-4 * time.Second)
 			u.checkOpening(&platformtest.Packet{To: virtualAddresses[0]})
 		}, "DRAIN"},
+		"an opening into a zone out of service": {func(d *deployment, u *upstream) {
+			d.zoneOut, d.zoneOutSince = "a", time.Now().Add(-zoneOrderBound-time.Second)
+			u.checkOpening(&platformtest.Packet{To: virtualAddresses[0]})
+		}, "ZONE"},
+		"an opening before a zone order binds": {func(d *deployment, u *upstream) {
+			d.zoneOut, d.zoneOutSince = "a", time.Now()
+			u.checkOpening(&platformtest.Packet{To: virtualAddresses[0]})
+		}, ""},
+		"an opening into another zone": {func(d *deployment, u *upstream) {
+			d.zoneOut, d.zoneOutSince = "b", time.Now().Add(-zoneOrderBound-time.Second)
+			u.checkOpening(&platformtest.Packet{To: virtualAddresses[0]})
+		}, ""},
 		"an established flow is reset": {func(d *deployment, _ *upstream) { d.checkReset(key) }, "FLOW"},
 		"a reset long after a fault": {func(d *deployment, _ *upstream) {
 			d.recordUnplannedFault(time.Now().Add(-5*time.Second), agent.address())
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -237,9 +237,10 @@
 }
 
 // checkOpening checks that the upstream may receive new flows. The virtual address
-// must be routed to its service, and it must not have been leaving for longer than
-// maxDrainTime.
+// must be routed to its service, its zone must be in service, and it must not have been
+// leaving for longer than maxDrainTime.
 func (u *upstream) checkOpening(packet *platformtest.Packet) {
+	u.deployment.checkZoneOfOpening(u)
 	if !u.deployment.isRouted(packet.To, u.service) {
 		u.deployment.recordBreach("ROUTE", "an opening to %s reached upstream %s of service %s", packet.To, u.id, u.service)
 	}
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -82,6 +82,9 @@
 	terms       Terms
 	termsKnown  bool
 	unconfirmed unconfirmedTerms
+	// awaitTermsUntil is set after a suspension. lastActivityAt is when the agent last
+	// handled a packet or a Tick.
+	awaitTermsUntil, lastActivityAt time.Time
 }
 
 // NewAgent returns an agent that has received no check-in.
@@ -100,6 +103,7 @@
 
 // HandleBalancerPacket handles a packet of a caller that a balancer has forwarded.
 func (a *Agent) HandleBalancerPacket(now time.Time, packet *Packet, header ForwardingHeader, balancer netip.Addr, data []byte, actions *[]Action) {
+	a.noteActivity(now)
 	if !header.Service.matches(a.serviceTag) {
 		a.sendRejection(packet, balancer, OtherService, actions)
 		return
--- a/internal/steering/agent_zone.go
+++ b/internal/steering/agent_zone.go
@@ -5,6 +5,11 @@
 	"time"
 )
 
+// suspensionDivisor is the fraction of ZoneOrderBound for which an agent may have been
+// suspended without awaiting terms again. The terms that are sent after that arrive within
+// the rest of it. An agent that runs is called at least every sync interval.
+const suspensionDivisor = 2
+
 // unconfirmedTerms collects the terms of control processes that know no leader, until a
 // majority of the voters has sent theirs. Every acknowledged order is among the latest of
 // these, unless its commit was not recorded before the processes stopped; the next leader
@@ -32,6 +37,10 @@
 // HandleTerms handles the terms of a control process. It reports whether they were
 // applied.
 func (a *Agent) HandleTerms(now time.Time, from netip.Addr, report *TermsReport) (applied bool) {
+	if report.Confirmed {
+		// They may be those that the agent has.
+		a.awaitTermsUntil = time.Time{}
+	}
 	if report.Confirmed || a.termsKnown {
 		return a.SetTerms(now, report.Terms)
 	}
@@ -44,17 +53,33 @@
 	if !terms.replaces(&a.terms, a.termsKnown) {
 		return false
 	}
-	wasOut := a.termsKnown && a.terms.isOut(a.cfg.Zone)
+	returned := a.termsKnown && terms.OwnZoneReturns > a.terms.OwnZoneReturns
 	a.terms, a.termsKnown, a.unconfirmed = terms, true, unconfirmedTerms{}
-	if wasOut && !terms.isOut(a.cfg.Zone) {
+	if returned {
 		a.presumeCold(now)
 	}
 	return true
 }
 
-// AwaitsTerms reports whether the agent rejects openings until it has received terms.
+// noteActivity detects that the process was suspended. It may then have missed orders, and
+// awaits terms again. It is called for each packet and each Tick.
+//
+// Load pattern: a VM is paused for some seconds, its zone is taken out of service, and
+// openings are in the receive buffers of its agent when it runs again.
+func (a *Agent) noteActivity(now time.Time) {
+	if a.cfg.ZoneOrderBound > 0 && !a.lastActivityAt.IsZero() && now.Sub(a.lastActivityAt) > a.cfg.ZoneOrderBound/suspensionDivisor {
+		a.awaitTermsUntil = now.Add(a.cfg.ZoneOrderBound)
+	}
+	a.lastActivityAt = now
+}
+
+// AwaitsTerms reports whether the agent rejects openings until it has received terms: it
+// has none, or was suspended since it received them.
 func (a *Agent) AwaitsTerms(now time.Time) bool {
-	return !a.termsKnown && now.Sub(a.cfg.StartedAt) < a.cfg.ZoneOrderBound
+	if a.termsKnown && a.awaitTermsUntil.IsZero() {
+		return false
+	}
+	return now.Before(a.awaitTermsUntil) || (!a.termsKnown && now.Sub(a.cfg.StartedAt) < a.cfg.ZoneOrderBound)
 }
 
 // ZoneOut reports whether the zone of the agent is out of service, as far as it knows.
--- a/internal/steering/terms.go
+++ b/internal/steering/terms.go
@@ -15,6 +15,9 @@
 	Revision uint64
 	// ZonesOut lists the zones whose upstreams get no openings.
 	ZonesOut []zone.ID
+	// OwnZoneReturns counts how often the zone of the receiving agent was returned to
+	// service. It is not set for balancers.
+	OwnZoneReturns uint64
 	// WarmUps has the services that state a rate for cold upstreams.
 	WarmUps []ServiceWarmUp
 }
--- a/internal/steering/zone_test.go
+++ b/internal/steering/zone_test.go
@@ -63,6 +63,40 @@
 	require.Zero(t, verdict(a, 1), "where zones are not taken out of service, agents do not wait")
 }
 
+// Load pattern: the VM of an agent is paused while its zone is taken out of service. The
+// openings in its receive buffers must not be let in when it runs again; without control it
+// must serve again after the bound.
+func TestAgentThatWasSuspended(t *testing.T) {
+	const bound = 5 * time.Second
+	a := &agentHarness{t: t, now: start, Agent: steering.NewAgent(steering.AgentConfig{
+		Service: orders, Zone: ownZone, ZoneOrderBound: bound, IdleTimeout: 20 * time.Second, MaxFlows: 100, StartedAt: start,
+	})}
+	control := netip.MustParseAddr("10.9.0.1")
+	inService := &steering.TermsReport{Terms: termsWithout(3), Confirmed: true, Voters: 5}
+	require.True(t, a.checkIn(newCheckIn(1, 0, view.Ready)))
+	require.True(t, a.HandleTerms(a.now, control, inService))
+	deliver := func(port uint16) bool {
+		return a.handleCallerPacket(openingPacket(port), asLastAttempt(ownHeader))[0].Kind == steering.Deliver
+	}
+	require.True(t, deliver(1))
+	a.now = a.now.Add(bound / 2)
+	require.True(t, deliver(2), "a pause that is shorter than half of the bound")
+	a.now = a.now.Add(bound/2 + 1)
+	require.False(t, deliver(3))
+	require.False(t, a.HandleTerms(a.now, control, &steering.TermsReport{Terms: termsWithout(3), Voters: 5}))
+	require.True(t, a.AwaitsTerms(a.now), "a replica without a leader may have been paused as well")
+	require.False(t, a.HandleTerms(a.now, control, inService))
+	require.True(t, deliver(4))
+	a.now = a.now.Add(2 * bound)
+	a.Tick(a.now, &a.actions)
+	require.False(t, deliver(5))
+	for range 10 {
+		a.now = a.now.Add(bound / 10)
+		a.Tick(a.now, &a.actions)
+	}
+	require.True(t, deliver(6), "no control process is reachable")
+}
+
 // Load pattern: all processes are killed while a zone is out of service. Agents must serve
 // before control has a leader, and no replica that was behind may bring the zone back.
 func TestTermsWithoutLeader(t *testing.T) {
