--- a/internal/fabric/terms.go
+++ b/internal/fabric/terms.go
@@ -16,7 +16,8 @@
 const (
 	// termsResendInterval is how often one control process sends unchanged terms to the
 	// same process. With five of them, a process that has lost a datagram gets the terms
-	// again within half a second on average.
+	// again within half a second on average. An agent that was suspended asks for them again;
+	// it was so for longer than this where ZoneOrderBound is 4 s or more.
 	termsResendInterval = 2 * time.Second
 	// termsStartPeriod is the time after the first request of a process in which each
 	// of its requests is answered with terms: its agent rejects openings without them.
--- a/internal/fabric/zone_orders.go
+++ b/internal/fabric/zone_orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -53,11 +54,15 @@
 	if err == nil && result.Outcome != intent.Accepted {
 		err = &UnavailableError{Reason: result.Reason}
 	}
+	var redirect *RedirectError
+	if errors.As(err, &redirect) {
+		return result, err
+	}
 	c.recordDuration("zone_orders.us", time.Since(startedAt))
 	entry := c.Log.WithFields(logrus.Fields{"zone": id, "out": out, "after_orders": *order.AfterOrders, "outcome": result.Outcome, "revision": result.Revision})
 	if err != nil {
 		c.incrementCounter("zone_orders.not_accepted")
-		entry.WithError(err).Info("zone order not accepted")
+		entry.WithError(err).Warn("zone order not accepted")
 		return result, err
 	}
 	c.incrementCounter("zone_orders.accepted")
