--- a/internal/fabric/terms.go
+++ b/internal/fabric/terms.go
@@ -84,8 +84,8 @@
 	// a learner lacks orders that have been acknowledged.
 	voters int
 	// confirmed is set while the replica is a voter that knows a leader.
-	confirmed bool
-	leads     bool
+	confirmed  bool
+	leads      bool
 	recipients map[netip.Addr]termsRecipient
 	nextSweep  time.Time
 }
