warmup: cold upstreams get at most the stated rate of openings

Callers of a cold upstream waited: a warm-up only doubled its load score at each balancer, and balancers with stale knowledge together sent it more than it bears.

Change: internal/warmup has a limiter over exact times (hard bound in every span, the stated rate below it, spread over the second, rising after the warm-up) and what is believed about the warm-up. The agent rejects openings with the verdict WarmingUp; balancers then try other upstreams at once and avoid this one for 50 to 400 ms.

--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -41,6 +41,8 @@
 	// actionCounters counts actions by kind and reason.
 	actionCounters actionCounters
 	stopping       bool
+	// reportedWarmUp is the state of the warm-up in the last log line about it.
+	reportedWarmUp steering.WarmUpStatus
 }
 
 // NewAgent opens the sockets of an agent. Run processes packets.
@@ -66,6 +68,7 @@
 		requests, flows := a.core.Load()
 		a.setGauge("flows", flows)
 		a.setGauge("requests", requests)
+		a.reportWarmUp(now)
 	}
 	shared.nextDeadline = a.core.Deadline
 	a.execute = a.executeAction
@@ -84,6 +87,7 @@
 	}
 	return steering.AgentConfig{
 		Service: cfg.Service, CheckInInterval: cfg.CheckInInterval, IdleTimeout: maxFlowAge, MaxFlows: cfg.maxFlows(), StartedAt: startedAt,
+		WarmUpOvershoot: cfg.WarmUpOvershoot, WarmUpSlack: cfg.WarmUpSlack,
 	}
 }
 
@@ -142,6 +146,7 @@
 	a.runDecision(now, func(out *[]steering.Action) { changed = decision(out) })
 	current, _ := a.core.Upstream()
 	stopping := a.stopping
+	a.reportWarmUp(now)
 	a.mu.Unlock()
 	if !changed || stopping {
 		return
@@ -267,10 +272,13 @@
 		if verdict := action.Message.Verdict.String(); verdict != "" {
 			entry.Reason = verdict
 		}
-		switch action.Message.Kind {
-		case steering.LookupResponse:
+		switch kind := action.Message.Kind; {
+		case kind == steering.LookupResponse:
 			// recordLookupVerdicts writes an entry for each flow.
-		case steering.OpeningAccepted:
+		case kind == steering.OpeningRejected && action.Message.Verdict == steering.WarmingUp:
+			a.incrementCounter("warmup.rejected")
+			a.Decisions.LogRateLimited(entry)
+		case kind == steering.OpeningAccepted:
 			a.Decisions.LogRateLimited(entry)
 		default:
 			a.Decisions.LogAlways(entry)
--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -181,7 +181,12 @@
 func (b *Balancer) handleAgentMessage(from netip.Addr, m *steering.Message) {
 	b.lockAndRunDecision(func(now time.Time, out *[]steering.Action) {
 		if m.Kind == steering.OpeningRejected || m.Kind == steering.FlowNotFound {
-			b.Decisions.LogAlways(decisionlog.Entry{At: now, Event: m.Kind.String(), Reason: m.Verdict.String(), Flow: m.Flow, Peer: from, Load: int(m.Load)})
+			entry := decisionlog.Entry{At: now, Event: m.Kind.String(), Reason: m.Verdict.String(), Flow: m.Flow, Peer: from, Load: int(m.Load)}
+			if m.Verdict == steering.WarmingUp {
+				b.Decisions.LogRateLimited(entry)
+			} else {
+				b.Decisions.LogAlways(entry)
+			}
 		}
 		if age, opening := b.core.OpeningAge(now, m.Flow); opening && m.Kind == steering.OpeningAccepted {
 			b.recordDuration("openings.us", age)
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -6,6 +6,7 @@
 
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/warmup"
 )
 
 const (
@@ -35,6 +36,9 @@
 	MaxFlows int
 	// StartedAt is when this process began to receive the packets of its upstream.
 	StartedAt time.Time
+	// A cold upstream may get at most its stated rate times WarmUpOvershoot, and
+	// WarmUpSlack more, openings within any second.
+	WarmUpOvershoot, WarmUpSlack float64
 }
 
 // Agent steers packets for the process beside one upstream.
@@ -73,6 +77,14 @@
 	stageCounts [stageCount]int
 	serviceTime serviceTimeEstimator
 	nextSweep   time.Time
+	// terms are the last terms received. termsKnown is set by the first ones.
+	terms      Terms
+	termsKnown bool
+	warmUp     *warmup.Limiter
+	// warmUpPeak is the highest number of openings within a second of the last warm-up.
+	// warmUpPeakEnded is set by openings after it.
+	warmUpPeak      int
+	warmUpPeakEnded bool
 }
 
 // NewAgent returns an agent that has received no check-in.
@@ -80,7 +92,9 @@
 	if cfg.CheckInInterval == 0 {
 		cfg.CheckInInterval = defaultCheckInInterval
 	}
-	return &Agent{cfg: cfg, serviceTag: NewServiceTag(cfg.Service), flows: map[flow.Key]*heldFlow{}, unconfirmedFlows: map[flow.Key]unconfirmedFlow{}, returnedFlows: map[flow.Key]time.Time{}}
+	limiter := warmup.NewLimiter(warmup.Config{Overshoot: cfg.WarmUpOvershoot, Slack: cfg.WarmUpSlack, RateUnknownUntil: cfg.StartedAt.Add(rateUnknownWait)})
+	limiter.AssumeFull(cfg.StartedAt)
+	return &Agent{cfg: cfg, warmUp: limiter, serviceTag: NewServiceTag(cfg.Service), flows: map[flow.Key]*heldFlow{}, unconfirmedFlows: map[flow.Key]unconfirmedFlow{}, returnedFlows: map[flow.Key]time.Time{}}
 }
 
 // Upstream returns the last check-in and whether there was one.
@@ -133,6 +147,9 @@
 		a.setStage(held, stageIdle)
 		held.finished = true
 	case packet.Payload > 0 && held.stage != stageInProgress:
+		if held.stage != stageAwaitingRequest {
+			a.warmUp.RecordRequest(now)
+		}
 		held.requestStartedAt, held.measureServiceTime = now, a.stageCounts[stageInProgress] < a.upstream.Slots
 		a.setStage(held, stageInProgress)
 	}
--- a/internal/steering/agent_check_in.go
+++ b/internal/steering/agent_check_in.go
@@ -67,7 +67,8 @@
 	}
 	a.possibleSuccessor = possibleSuccessor{}
 	changed = !a.checkedIn || checkIn.Incarnation != previous.Incarnation || checkIn.Status != previous.Status || checkIn.Slots != previous.Slots || checkIn.VM != previous.VM
-	if checkIn.Incarnation != previous.Incarnation {
+	newProcess := checkIn.Incarnation != previous.Incarnation
+	if newProcess {
 		a.rejectOpeningsUntil = time.Time{}
 		a.sawUpstreamStart = a.checkedIn || a.confirmedAbsent || a.startedTogether(now, &checkIn)
 		if a.checkedIn {
@@ -81,7 +82,8 @@
 		}
 	}
 	a.upstream, a.checkedIn = checkIn, true
-	return changed, true
+	becameCold := a.applyReportedWarmUp(now, &checkIn, newProcess)
+	return changed || becameCold, true
 }
 
 // possibleSuccessor is an upstream process that sends check-ins with an earlier start
--- a/internal/steering/agent_expiry.go
+++ b/internal/steering/agent_expiry.go
@@ -26,6 +26,7 @@
 		return
 	}
 	a.rejectOpeningsUntil = now.Add(unresponsivePause)
+	a.warmUp.Unanswered(now)
 	a.probeUpstream(now, pending.key, actions)
 	balancer := held.balancer
 	a.removeFlow(pending.key, held)
--- a/internal/steering/agent_opening.go
+++ b/internal/steering/agent_opening.go
@@ -34,6 +34,11 @@
 func (a *Agent) handleOpening(now time.Time, packet *Packet, held *heldFlow, header ForwardingHeader, balancer netip.Addr, data []byte, actions *[]Action) {
 	if held != nil && !held.upstreamExited && held.openingSequence == packet.Sequence && held.incarnation == a.upstream.Incarnation {
 		held.balancer = balancer
+		if !a.admitsCopy(now) {
+			*actions = append(*actions, Action{Kind: Drop, Reason: UpstreamCold, Flow: packet.Flow})
+			return
+		}
+		a.recordOpening(now)
 		*actions = append(*actions, Action{Kind: Deliver, Reason: Repeated, Flow: packet.Flow, Data: data})
 		return
 	}
@@ -56,6 +61,7 @@
 	a.flows[packet.Flow] = held
 	a.pendingOpenings = append(a.pendingOpenings, pendingOpening{key: packet.Flow, sequence: packet.Sequence, deliveredAt: now})
 	a.scheduleSweep(now)
+	a.recordOpening(now)
 	*actions = append(*actions, Action{Kind: Deliver, Reason: Placed, Flow: packet.Flow, Data: data})
 }
 
@@ -69,6 +75,8 @@
 		return NotAccepting
 	case now.Before(a.rejectOpeningsUntil) && !header.LastAttempt:
 		return NoResponse
+	case !a.warmUp.Admits(now):
+		return WarmingUp
 	}
 	return a.admissionVerdict(header)
 }
--- a/internal/steering/agent_upstream.go
+++ b/internal/steering/agent_upstream.go
@@ -47,6 +47,7 @@
 	a.rejectOpeningsUntil = time.Time{}
 	if packet.Flags.Has(SYN|ACK) && !held.accepted {
 		held.accepted, held.answerSequence = true, packet.Sequence
+		a.warmUp.Answered(now)
 		a.sendMessage(held.balancer, Message{Kind: OpeningAccepted, Flow: packet.Flow, Sequence: packet.Sequence}, UpstreamReplied, actions)
 	}
 	if packet.Payload > 0 && held.stage == stageInProgress && held.measureServiceTime {
@@ -71,6 +72,7 @@
 			return
 		}
 		balancer := held.balancer
+		a.warmUp.Unanswered(now)
 		a.removeFlow(packet.Flow, held)
 		a.sendRejection(packet, balancer, Refused, actions)
 		a.probeUpstream(now, packet.Flow, actions)
@@ -84,6 +86,9 @@
 			a.removeFlow(packet.Flow, held)
 			return
 		}
+		if held.established && !held.finished && !held.callerFinished && !held.returnedByUpstream {
+			a.presumeCold(now)
+		}
 		held.returnedByUpstream = true
 		a.sendMessage(held.balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
 		return
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -55,6 +55,8 @@
 	cfg     BalancerConfig
 	desired *intent.DesiredState
 	routes  map[netip.AddrPort]*intent.Route
+	// warmUpRates has the services that state a rate for cold upstreams.
+	warmUpRates map[service.Name]float64
 	// removedRoutes has the virtual addresses that were only in previous desired
 	// states.
 	removedRoutes map[netip.AddrPort]bool
@@ -129,7 +131,7 @@
 			b.removedRoutes[virtual] = true
 		}
 	}
-	b.desired, b.routes = desired, routes
+	b.desired, b.routes, b.warmUpRates = desired, routes, statedWarmUpRates(desired)
 	return true
 }
 
--- a/internal/steering/balancer_opening.go
+++ b/internal/steering/balancer_opening.go
@@ -139,6 +139,7 @@
 // handleAccepted records an upstream that has accepted the opening.
 func (b *Balancer) handleAccepted(entry *flowEntry, upstream *upstreamState, message *Message) {
 	upstream.avoidUntil = time.Time{}
+	upstream.warmUp.recordAccepted()
 	if entry.state != stateOpeningUnconfirmed {
 		return
 	}
@@ -155,6 +156,8 @@
 		upstream.avoidUntil = now.Add(rejectedAvoidTime)
 	case Overloaded:
 		upstream.overloadedUntil = now.Add(overloadedAvoidTime)
+	case WarmingUp:
+		upstream.warmUp.recordRejected(now, b.cfg.Random.Float64())
 	}
 	if entry.state != stateOpeningUnconfirmed || entry.upstream != upstream || entry.openingSequence != message.Sequence || len(entry.acceptances) > 0 {
 		return
--- a/internal/steering/exclusion.go
+++ b/internal/steering/exclusion.go
@@ -19,6 +19,8 @@
 	// excludedAvoided: it has rejected an opening or not responded to one shortly before.
 	// It gets an opening all the same if no other upstream is left.
 	excludedAvoided
+	// excludedWarmingUp: it has rejected an opening shortly before because it is cold.
+	excludedWarmingUp
 )
 
 // exclusionOf returns the first cause that applies to an upstream and an opening.
@@ -26,6 +28,8 @@
 	switch {
 	case !upstream.AcceptsOpenings():
 		return excludedStatus
+	case now.Before(upstream.warmUp.avoidUntil):
+		return excludedWarmingUp
 	case now.Before(upstream.overloadedUntil):
 		return excludedOverloaded
 	case slices.Contains(entry.attemptedAgents, upstream.Address.Addr()):
--- a/internal/steering/message.go
+++ b/internal/steering/message.go
@@ -46,7 +46,7 @@
 type Verdict uint8
 
 // The verdicts. FlowHeld, FlowNotHeld and FlowUndetermined are results of lookups. The
-// others are the causes of a rejected opening.
+// others are the causes of a rejected opening. The numbers are sent in messages.
 const (
 	// Busy: all slots of the upstream are in use.
 	Busy Verdict = iota + 1
@@ -75,6 +75,8 @@
 	// FlowUndetermined: the agent started after its upstream and has received no packet
 	// of the flow, so the upstream may hold it.
 	FlowUndetermined
+	// WarmingUp: the upstream is cold and has got the openings that it bears at present.
+	WarmingUp
 )
 
 // verdictNames has the names of verdicts in log lines and metrics. The strings are
@@ -82,6 +84,7 @@
 var verdictNames = [...]string{
 	Busy: "busy", Overloaded: "overloaded", NotAccepting: "leaving", StatusUnknown: "unready", NoResponse: "silent", Refused: "refused", OtherService: "foreign",
 	FlowHeld: "holds", FlowNotHeld: "holds_not", FlowUndetermined: "unsure",
+	WarmingUp: "warming_up",
 }
 
 func (v Verdict) String() string {
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -114,6 +114,11 @@
 	AllOverloaded  Reason = "overloaded"
 	NoneAccepted   Reason = "none_answered"
 	NoDesiredState Reason = "no_desired_state"
+	// AllWarmingUp: the opening is refused because the upstreams that could take it are
+	// cold and have rejected openings shortly before. UpstreamCold: a copy of an opening
+	// is dropped because the upstream is cold.
+	AllWarmingUp Reason = "all_warming_up"
+	UpstreamCold Reason = "warming_up"
 	// NotReady: the opening is rejected. Its verdict has the cause.
 	NotReady Reason = "not_ready"
 	NotHeld  Reason = "not_held"
--- a/internal/steering/placement.go
+++ b/internal/steering/placement.go
@@ -21,9 +21,9 @@
 		b.refuseOpening(entry, NoRoute, actions)
 		return
 	}
-	selected, hasMore := b.selectUpstream(now, entry, route)
-	if selected == nil && hasMore {
-		b.refuseOpening(entry, AllOverloaded, actions)
+	selected, hasMore, refusal := b.selectUpstream(now, entry, route)
+	if refusal != "" {
+		b.refuseOpening(entry, refusal, actions)
 		return
 	}
 	if selected == nil {
@@ -31,6 +31,7 @@
 		return
 	}
 	selected.openingsSinceReport++
+	selected.warmUp.recordOpening(now)
 	entry.upstream, entry.state = selected, stateOpeningUnconfirmed
 	entry.attemptedAgents = append(entry.attemptedAgents, selected.Address.Addr())
 	b.setDeadline(entry, now.Add(openingResponseTimeout))
@@ -46,20 +47,21 @@
 // selectUpstream returns the best upstream for an opening. If best is set, hasMore
 // reports whether the opening may be sent to another upstream after best.
 //
-// If best is nil, no upstream can get the opening now. hasMore is then set if at least
-// one was left out because it rejected an opening as overloaded shortly before. The
-// opening is refused in that case. Otherwise it is queued if an upstream may accept it
-// soon.
-func (b *Balancer) selectUpstream(now time.Time, entry *flowEntry, route *intent.Route) (best *upstreamState, hasMore bool) {
+// If best is nil, no upstream can get the opening now. refusal is then set if at least
+// one was left out because it rejected an opening as overloaded, or because it is cold,
+// shortly before. Openings that wait for cold upstreams would reach them all at once.
+// Without a refusal the opening is queued if an upstream may accept it soon.
+func (b *Balancer) selectUpstream(now time.Time, entry *flowEntry, route *intent.Route) (best *upstreamState, hasMore bool, refusal Reason) {
 	// another is any upstream other than best that may get the opening.
 	var another *upstreamState
 	bestScore := 0.0
 	members := b.serviceMembers[b.selectService(entry, route)]
-	anyAvoided, anyOverloaded := false, false
+	anyAvoided, anyOverloaded, anyWarmingUp := false, false, false
 	for _, upstream := range members {
 		if excluded := b.exclusionOf(now, upstream, entry); excluded != notExcluded {
 			anyOverloaded = anyOverloaded || excluded == excludedOverloaded
 			anyAvoided = anyAvoided || excluded == excludedAvoided
+			anyWarmingUp = anyWarmingUp || excluded == excludedWarmingUp
 			continue
 		}
 		score := upstream.loadScore(now, b)
@@ -70,15 +72,17 @@
 		}
 	}
 	if best != nil {
-		return best, another != nil && len(entry.attemptedAgents)+1 < maxPlacementAttempts
+		return best, another != nil && len(entry.attemptedAgents)+1 < maxPlacementAttempts, ""
 	}
-	if anyOverloaded {
-		return nil, true
+	switch {
+	case anyOverloaded:
+		return nil, false, AllOverloaded
+	case anyAvoided:
+		return b.earliestAvailable(now, entry, members), false, ""
+	case anyWarmingUp:
+		return nil, false, AllWarmingUp
 	}
-	if anyAvoided {
-		best = b.earliestAvailable(now, entry, members)
-	}
-	return best, false
+	return nil, false, ""
 }
 
 // earliestAvailable returns the upstream whose avoidance period ends first.
--- a/internal/steering/upstream_state.go
+++ b/internal/steering/upstream_state.go
@@ -46,6 +46,7 @@
 	lookupUnresponsiveUntil time.Time
 	// overloadedUntil is set after it has rejected an opening as overloaded.
 	overloadedUntil time.Time
+	warmUp          warmUpKnowledge
 }
 
 // updateReport stores the load report that every message of an agent has.
@@ -61,10 +62,11 @@
 	if age := now.Sub(u.reportedAt); age < loadReportLifetime {
 		load += float64(u.requestsInProgress) * (1 - float64(age)/float64(loadReportLifetime))
 	}
+	score := load / slots
 	if now.Before(u.WarmUpUntil) {
-		load = (load + 1) * warmUpLoadFactor
+		score = u.coldLoadScore(now, load, slots, b.warmUpRates[u.Service])
 	}
-	score := load/slots + b.cfg.Random.Float64()*scoreJitter
+	score += b.cfg.Random.Float64() * scoreJitter
 	if u.Zone != b.cfg.Zone {
 		score += otherZonePenalty
 	}
