--- a/internal/steering/balancer_warm_up.go
+++ b/internal/steering/balancer_warm_up.go
@@ -17,6 +17,9 @@
 	maxWarmUpAvoidTime = 400 * time.Millisecond
 	// recentOpeningsTime is the time constant of the average of recent openings.
 	recentOpeningsTime = time.Second
+	// maxOwnRateShare is the share of the stated rate that a balancer sends at most to a
+	// cold upstream. It is above one because a record may show a warm-up that has ended.
+	maxOwnRateShare = 2
 )
 
 // warmUpKnowledge is what a balancer knows about the room that a cold upstream has left.
@@ -62,6 +65,12 @@
 	w.avoidUntil = now.Add(time.Duration((0.5 + jitter) * float64(w.avoidTime)))
 }
 
+// isColdAndFull reports whether this balancer alone has sent a cold upstream more than it
+// bears. Queued openings would otherwise all be sent to an upstream that becomes ready.
+func (u *upstreamState) isColdAndFull(now time.Time, rate float64) bool {
+	return rate > 0 && now.Before(u.WarmUpUntil) && u.warmUp.recent(now) >= maxOwnRateShare*max(rate, 1)
+}
+
 // coldLoadScore returns the load score of a cold upstream as a share of what it bears. A
 // stated rate replaces the assumed slowdown.
 func (u *upstreamState) coldLoadScore(now time.Time, load, slots, rate float64) float64 {
--- a/internal/steering/exclusion.go
+++ b/internal/steering/exclusion.go
@@ -19,7 +19,8 @@
 	// excludedAvoided: it has rejected an opening or not responded to one shortly before.
 	// It gets an opening all the same if no other upstream is left.
 	excludedAvoided
-	// excludedWarmingUp: it has rejected an opening shortly before because it is cold.
+	// excludedWarmingUp: it has rejected an opening shortly before because it is cold, or
+	// this balancer alone has sent it more than it bears.
 	excludedWarmingUp
 )
 
@@ -28,7 +29,7 @@
 	switch {
 	case !upstream.AcceptsOpenings():
 		return excludedStatus
-	case now.Before(upstream.warmUp.avoidUntil):
+	case now.Before(upstream.warmUp.avoidUntil) || upstream.isColdAndFull(now, b.warmUpRates[upstream.Service]):
 		return excludedWarmingUp
 	case now.Before(upstream.overloadedUntil):
 		return excludedOverloaded
