warmup: the rate is unknown until the first terms, where control always sends them

An agent that is cut off from control has no terms; its cold upstream got openings without a limit after two seconds. Now it gets at most the slack, which no rate forbids.

--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -87,7 +87,7 @@
 	}
 	return steering.AgentConfig{
 		Service: cfg.Service, CheckInInterval: cfg.CheckInInterval, IdleTimeout: maxFlowAge, MaxFlows: cfg.maxFlows(), StartedAt: startedAt,
-		WarmUpOvershoot: cfg.WarmUpOvershoot, WarmUpSlack: cfg.WarmUpSlack,
+		WarmUpOvershoot: cfg.WarmUpOvershoot, WarmUpSlack: cfg.WarmUpSlack, TermsAlwaysSent: cfg.ZoneOrderBound > 0,
 	}
 }
 
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -39,6 +39,8 @@
 	// A cold upstream may get at most its stated rate times WarmUpOvershoot, and
 	// WarmUpSlack more, openings within any second.
 	WarmUpOvershoot, WarmUpSlack float64
+	// TermsAlwaysSent is set if control sends terms also where there is nothing to tell.
+	TermsAlwaysSent bool
 }
 
 // Agent steers packets for the process beside one upstream.
@@ -92,7 +94,7 @@
 	if cfg.CheckInInterval == 0 {
 		cfg.CheckInInterval = defaultCheckInInterval
 	}
-	limiter := warmup.NewLimiter(warmup.Config{Overshoot: cfg.WarmUpOvershoot, Slack: cfg.WarmUpSlack, RateUnknownUntil: cfg.StartedAt.Add(rateUnknownWait)})
+	limiter := warmup.NewLimiter(warmup.Config{Overshoot: cfg.WarmUpOvershoot, Slack: cfg.WarmUpSlack, RateUnknownUntil: cfg.StartedAt.Add(rateUnknownWait), AwaitsRate: cfg.TermsAlwaysSent})
 	limiter.AssumeFull(cfg.StartedAt)
 	return &Agent{cfg: cfg, warmUp: limiter, serviceTag: NewServiceTag(cfg.Service), flows: map[flow.Key]*heldFlow{}, unconfirmedFlows: map[flow.Key]unconfirmedFlow{}, returnedFlows: map[flow.Key]time.Time{}}
 }
--- a/internal/steering/agent_warm_up.go
+++ b/internal/steering/agent_warm_up.go
@@ -8,7 +8,8 @@
 
 // rateUnknownWait is the time after its start in which an agent that has received no
 // terms treats a cold upstream as one whose stated rate is unknown. Control sends terms
-// with the first sync response, but none to a deployment that has nothing to tell.
+// with the first sync response. Unless the settings call for terms in any case, it sends
+// none to a deployment that has nothing to tell.
 const rateUnknownWait = 2 * time.Second
 
 // WarmUpStatus is the state of the warm-up of an upstream.
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -27,10 +27,11 @@
 	// within any second. Both are zero if no bound is stated; the rate itself is then the
 	// bound.
 	Overshoot, Slack float64
-	// RateUnknownUntil is the time until which a missing rate counts as unknown. Cold
-	// upstreams get at most Slack openings within any second until then, which no rate
-	// forbids.
+	// A missing rate counts as unknown until RateUnknownUntil, or until a rate is set if
+	// AwaitsRate is set. Cold upstreams get at most Slack openings within any second
+	// meanwhile, which no rate forbids.
 	RateUnknownUntil time.Time
+	AwaitsRate       bool
 }
 
 // Limiter admits openings to one upstream. Openings are recorded whether it is cold or
@@ -81,7 +82,7 @@
 			return int(math.Min(max(l.rate, 1), maxWindowEvents)), true
 		}
 		return int(math.Min(l.rate*l.cfg.Overshoot+l.cfg.Slack, maxWindowEvents)), true
-	case !l.rateKnown && now.Before(l.cfg.RateUnknownUntil):
+	case !l.rateKnown && (l.cfg.AwaitsRate || now.Before(l.cfg.RateUnknownUntil)):
 		return int(math.Min(l.cfg.Slack, maxWindowEvents)), true
 	}
 	return 0, false
--- a/internal/warmup/limiter_test.go
+++ b/internal/warmup/limiter_test.go
@@ -172,6 +172,12 @@
 	l.Report(start, time.Minute, true)
 	require.Equal(t, slack, serve(l, start, 990*time.Millisecond))
 	require.Equal(t, 100, serve(l, start.Add(2*time.Second), 100*time.Millisecond))
+
+	l = warmup.NewLimiter(warmup.Config{Overshoot: overshoot, Slack: slack, AwaitsRate: true})
+	l.Report(start, time.Minute, true)
+	require.Equal(t, slack, serve(l, start.Add(30*time.Second), 990*time.Millisecond))
+	l.SetRate(0)
+	require.Equal(t, 100, serve(l, start.Add(31*time.Second), 100*time.Millisecond), "none is stated")
 }
 
 // Guards against an upstream that is treated as warm because its last report is older
