agent, service: a contract may state what a cold upstream bears

Operators of inventories had no way to say that an upstream which has just started bears few requests per second; the slow start limits its slots, which are free while it is slow.

--- a/internal/agent/action.go
+++ b/internal/agent/action.go
@@ -67,6 +67,8 @@
 	// Shedding: the upstream requests that no openings are placed on it for now.
 	// While the agent itself drains, the reason is NotReady instead.
 	Shedding Reason = "shedding"
+	// WarmingUp: the upstream is cold and has got the openings that it bears at present.
+	WarmingUp Reason = "warming_up"
 	// LateOpening: a delayed copy of the opening of a flow that has ended.
 	LateOpening Reason = "late_opening"
 	// AlreadyQueued: a copy of an opening that is queued here or awaits the
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -136,6 +136,7 @@
 	openingCounters     upstreamCounters
 	// upstreamLoad is the last load that the upstream reported, or nil.
 	upstreamLoad atomic.Pointer[UpstreamLoad]
+	coldGuard    *coldGuard
 	events       eventSampler
 }
 
@@ -155,6 +156,8 @@
 		claims:   newClaimTable(cfg.Limits.Claims),
 		recovery: newRecovery(cfg.Recover, cfg.Limits.Recovery),
 		events:   newEventSampler(cfg.Events),
+
+		coldGuard: newColdGuard(),
 	}
 	c.loadReporter.limiter = newLoadLimiter()
 	c.hintLimiter = rate.NewLimiter(hintsPerSecond, hintBurst)
--- a/internal/agent/opening.go
+++ b/internal/agent/opening.go
@@ -186,6 +186,10 @@
 		c.releaseSlot(f)
 		return AliasesUsedUp
 	}
+	if !c.coldGuard.admit(pkt.now, &pkt.svc.Contract) {
+		c.releaseReservations(f)
+		return WarmingUp
+	}
 	if needsClaim(pkt) {
 		c.bufferForClaim(pkt, f, out)
 		return ""
--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -175,8 +175,8 @@
 		return fmt.Sprintf("vm %s returns", change.Leaving.VM)
 	case change.Contract != nil:
 		contract := change.Contract.Contract
-		return fmt.Sprintf("service %s contract idempotent=%t shape=%s queue-deadline=%s priority=%s",
-			change.Contract.Service, contract.Idempotent, contract.Shape, contract.QueueDeadline, contract.Priority)
+		return fmt.Sprintf("service %s contract idempotent=%t shape=%s queue-deadline=%s priority=%s%s",
+			change.Contract.Service, contract.Idempotent, contract.Shape, contract.QueueDeadline, contract.Priority, contract.WarmUpText())
 	case change.Remove != nil:
 		return change.Remove.String()
 	}
--- a/internal/ctl/commands_test.go
+++ b/internal/ctl/commands_test.go
@@ -26,6 +26,8 @@
 		{"vm leave orders-3", "vm orders-3 leaves"},
 		{"vm return orders-3", "vm orders-3 returns"},
 		{"service contract orders --shape long", "shape=long queue-deadline=2s priority=survival"},
+		{"service contract orders --warm-up 30s --warm-up-rate 2.5", "priority=survival warm-up=30s warm-up-rate=2.5/s"},
+		{"service contract orders --warm-up 0s --warm-up-rate 0", "priority=survival"},
 		{"service contract orders --idempotent --queue-deadline 0s", "idempotent=true shape=long queue-deadline=0s"},
 		{"service contract orders --idempotent=false --priority balance", "idempotent=false shape=long queue-deadline=0s priority=balance"},
 	} {
--- a/internal/ctl/input.go
+++ b/internal/ctl/input.go
@@ -129,6 +129,14 @@
 	return value
 }
 
+func (in *invocationInput) floatValue(name string, low, high float64) float64 {
+	value, err := strconv.ParseFloat(in.cmd.String(name), 64)
+	if err != nil || !(value >= low && value <= high) {
+		in.addError(name, "%q: want a number from %g to %g", in.cmd.String(name), low, high)
+	}
+	return value
+}
+
 func (in *invocationInput) choiceValue(name string, allowed ...string) string {
 	value := in.cmd.String(name)
 	if !slices.Contains(allowed, value) {
--- a/internal/ctl/rules.go
+++ b/internal/ctl/rules.go
@@ -19,6 +19,8 @@
 		&cli.StringFlag{Name: "shape", Usage: "short: a flow holds a slot; long: a flow counts against the connection limit"},
 		&cli.StringFlag{Name: "queue-deadline", Usage: "longest wait of an opening for a free slot"},
 		&cli.StringFlag{Name: "priority", Usage: "survival of flows, or balance"},
+		&cli.StringFlag{Name: "warm-up", Usage: "how long an upstream is cold after its start"},
+		&cli.StringFlag{Name: "warm-up-rate", Usage: "requests per second that a cold upstream bears; 0: not stated"},
 	)
 	return &cli.Command{
 		Name: "service", Usage: "rules of a service", Action: unknownCommand,
@@ -86,6 +88,8 @@
 	shape         service.FlowShape
 	queueDeadline *time.Duration
 	priority      service.Priority
+	warmUp        *time.Duration
+	warmUpRate    *float64
 }
 
 func (in *invocationInput) contractUpdate() contractUpdate {
@@ -104,8 +108,16 @@
 	if in.cmd.IsSet("priority") {
 		update.priority = service.Priority(in.choiceValue("priority", string(service.PrioritySurvival), string(service.PriorityBalance)))
 	}
+	if in.cmd.IsSet("warm-up") {
+		value := in.durationValue("warm-up", 0, service.MaxWarmUp)
+		update.warmUp = &value
+	}
+	if in.cmd.IsSet("warm-up-rate") {
+		value := in.floatValue("warm-up-rate", 0, service.MaxWarmUpRate)
+		update.warmUpRate = &value
+	}
 	if update == (contractUpdate{}) {
-		in.findings.Errorf(finding.Location{Object: "settings"}, "at least one of --idempotent, --shape, --queue-deadline and --priority is required")
+		in.findings.Errorf(finding.Location{Object: "settings"}, "at least one of --idempotent, --shape, --queue-deadline, --priority, --warm-up and --warm-up-rate is required")
 	}
 	return update
 }
@@ -123,6 +135,12 @@
 	if u.priority != "" {
 		contract.Priority = u.priority
 	}
+	if u.warmUp != nil {
+		contract.WarmUp = *u.warmUp
+	}
+	if u.warmUpRate != nil {
+		contract.WarmUpRate = *u.warmUpRate
+	}
 	return contract
 }
 
--- a/internal/intent/change.go
+++ b/internal/intent/change.go
@@ -303,6 +303,6 @@
 		return "", err
 	}
 	s.Services[i].Contract = r.Contract
-	return fmt.Sprintf("service %s contract idempotent=%t shape=%s queue=%s priority=%s",
-		r.Service, r.Contract.Idempotent, r.Contract.Shape, r.Contract.QueueDeadline, r.Contract.Priority), nil
+	return fmt.Sprintf("service %s contract idempotent=%t shape=%s queue=%s priority=%s%s",
+		r.Service, r.Contract.Idempotent, r.Contract.Shape, r.Contract.QueueDeadline, r.Contract.Priority, r.Contract.WarmUpText()), nil
 }
--- a/internal/intent/validate.go
+++ b/internal/intent/validate.go
@@ -62,6 +62,14 @@
 	if d := r.Contract.QueueDeadline; d < 0 || d > service.MaxQueueDeadline {
 		l.Errorf(finding.Location{Object: "contract", Field: "queue_deadline_ns"}, "%s: want 0s to %s", d, service.MaxQueueDeadline)
 	}
+	if d := r.Contract.WarmUp; d < 0 || d > service.MaxWarmUp {
+		l.Errorf(finding.Location{Object: "contract", Field: "warm_up_ns"}, "%s: want 0s to %s", d, service.MaxWarmUp)
+	}
+	if rate := r.Contract.WarmUpRate; !(rate >= 0 && rate <= service.MaxWarmUpRate) {
+		l.Errorf(finding.Location{Object: "contract", Field: "warm_up_rate"}, "%g: want 0 to %g requests per second", rate, service.MaxWarmUpRate)
+	} else if rate > 0 && r.Contract.WarmUp == 0 {
+		l.Errorf(finding.Location{Object: "contract", Field: "warm_up_rate"}, "%g requests per second without a duration of the warm-up", rate)
+	}
 }
 
 func (inv *Inventory) validate(l *finding.List) {
--- a/internal/intent/validate_test.go
+++ b/internal/intent/validate_test.go
@@ -1,6 +1,7 @@
 package intent
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -95,11 +96,23 @@
 			*c = Change{OperationID: "op", Kind: KindContract, Contract: &ContractRule{Service: "shop", Contract: serviceContract}}
 		}
 	}
+	warmUp := func(d time.Duration, rate float64) func(*Change) {
+		return func(c *Change) {
+			contract(0)(c)
+			c.Contract.Contract.WarmUp, c.Contract.Contract.WarmUpRate = d, rate
+		}
+	}
 	for name, c := range map[string]struct {
 		edit   func(*Change)
 		reason string
 	}{
 		"valid":                   {func(*Change) {}, ""},
+		"warm-up":                 {warmUp(service.MaxWarmUp, service.MaxWarmUpRate), ""},
+		"warm-up without a rate":  {warmUp(time.Second, 0), ""},
+		"warm-up too long":        {warmUp(service.MaxWarmUp+1, 5), "want 0s to 10m"},
+		"negative rate":           {warmUp(time.Second, -1), "want 0 to 4000 requests per second"},
+		"rate is not a number":    {warmUp(time.Second, math.NaN()), "want 0 to 4000 requests per second"},
+		"rate without a duration": {warmUp(0, 5), "without a duration"},
 		"longest queue deadline":  {contract(service.MaxQueueDeadline), ""},
 		"queue deadline too long": {contract(service.MaxQueueDeadline + 1), "want 0s to 30s"},
 		"negative queue deadline": {contract(-1), "want 0s to 30s"},
--- a/internal/node/probing.go
+++ b/internal/node/probing.go
@@ -74,6 +74,7 @@
 		a.cfg.Log.WithFields(logrus.Fields{"rating": string(evaluation.Status), "reason": evaluation.Reason}).Info("upstream health changed")
 		a.cfg.Events.Add(event.Event{At: now, Kind: "upstream_" + event.Kind(evaluation.Status), Object: string(a.cfg.VM), Reason: evaluation.Reason})
 	}
+	core.ReportWarmUp(now, evaluation.WarmUpUntil.Sub(now))
 	if evaluation.Load != nil {
 		core.SetUpstreamLoad(agent.UpstreamLoad{Busy: evaluation.Load.Busy, Slots: evaluation.Load.Slots, Shedding: evaluation.Load.Shedding})
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -76,6 +76,13 @@
 // whose callers have already given up.
 const MaxQueueDeadline = 30 * time.Second
 
+// MaxWarmUp and MaxWarmUpRate bound the warm-up of a contract. The rate is in requests
+// per second.
+const (
+	MaxWarmUp     = 10 * time.Minute
+	MaxWarmUpRate = 4000.0
+)
+
 // Contract states what the load balancer may assume about a service and what it must
 // guarantee.
 type Contract struct {
@@ -83,6 +90,18 @@
 	Shape         FlowShape     `json:"shape"`
 	QueueDeadline time.Duration `json:"queue_deadline_ns"`
 	Priority      Priority      `json:"priority"`
+	// WarmUp is how long an upstream stays cold after its start, WarmUpRate the requests
+	// per second that it bears meanwhile. If the rate is 0, none is stated.
+	WarmUp     time.Duration `json:"warm_up_ns,omitempty"`
+	WarmUpRate float64       `json:"warm_up_rate,omitempty"`
+}
+
+// WarmUpText describes the warm-up in one line, or is empty if none is stated.
+func (c Contract) WarmUpText() string {
+	if c.WarmUp == 0 && c.WarmUpRate == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" warm-up=%s warm-up-rate=%g/s", c.WarmUp, c.WarmUpRate)
 }
 
 // DefaultContract returns the contract of a service without a contract rule. It is
