soak: upstreams state a warm-up and check the openings that they get while cold

Upstreams are cold for 2 s after their start and bear 8 requests per second; more than 17 openings (8 x 1.5 + 5) within a second, with copies, are a breach.

Figures: go test -run TestEachCheck ./internal/soak and ./platform/... pass.

--- a/internal/soak/desired_state.go
+++ b/internal/soak/desired_state.go
@@ -45,7 +45,7 @@
 		}
 	}
 	d.mu.Unlock()
-	body := platformtest.EncodeDesired(version, routes, serviceNames...)
+	body := platformtest.EncodeDesiredWithWarmUp(version, routes, coldTime, coldRate, serviceNames...)
 	for deadline := time.Now().Add(timeout); time.Now().Before(deadline) && ctx.Err() == nil; sleepContext(ctx, 100*time.Millisecond) {
 		status, _ := d.callControl(ctx, http.MethodPut, random.IntN(voterCount), body)
 		switch {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -33,6 +33,18 @@
 			u.leaveAcknowledgedAt = time.Now().Add(-4 * time.Second)
 			u.checkOpening(&platformtest.Packet{To: virtualAddresses[0]})
 		}, "DRAIN"},
+		"more openings than a cold upstream bears": {func(_ *deployment, u *upstream) {
+			u.startedAt = time.Now()
+			for range coldBound + 1 {
+				u.checkOpening(&platformtest.Packet{To: virtualAddresses[0]})
+			}
+		}, "COLD"},
+		"as many as it bears": {func(_ *deployment, u *upstream) {
+			u.startedAt = time.Now()
+			for range coldBound {
+				u.checkOpening(&platformtest.Packet{To: virtualAddresses[0]})
+			}
+		}, ""},
 		"an established flow is reset": {func(d *deployment, _ *upstream) { d.checkReset(key) }, "FLOW"},
 		"a reset long after a fault": {func(d *deployment, _ *upstream) {
 			d.recordUnplannedFault(time.Now().Add(-5*time.Second), agent.address())
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -52,7 +52,9 @@
 	// leaveAcknowledgedAt is the time at which the agent first acknowledged a
 	// check-in that announces that the upstream is leaving.
 	leaveAcknowledgedAt time.Time
-	random              *rand.Rand
+	// coldOpenings has the times of the openings of the last second while it is cold.
+	coldOpenings []time.Time
+	random       *rand.Rand
 }
 
 // startUpstream starts an upstream at the application address of an agent.
@@ -151,7 +153,7 @@
 		leaving := u.leaving
 		checkIn := platformtest.CheckIn{
 			ID: u.id, Service: u.service, Address: u.agent.settings.App, Zone: u.agent.settings.Zone, Slots: upstreamSlots,
-			Leaving: leaving, Sequence: u.checkInSequence, StartedAtMillis: u.startedAt.UnixMilli(),
+			Leaving: leaving, WarmUp: u.remainingWarmUp(), Sequence: u.checkInSequence, StartedAtMillis: u.startedAt.UnixMilli(),
 		}
 		u.mu.Unlock()
 		interval := time.Second
@@ -240,6 +242,7 @@
 // must be routed to its service, and it must not have been leaving for longer than
 // maxDrainTime.
 func (u *upstream) checkOpening(packet *platformtest.Packet) {
+	u.checkColdOpening(time.Now())
 	if !u.deployment.isRouted(packet.To, u.service) {
 		u.deployment.recordBreach("ROUTE", "an opening to %s reached upstream %s of service %s", packet.To, u.id, u.service)
 	}
