--- a/internal/steering/agent_opening.go
+++ b/internal/steering/agent_opening.go
@@ -75,7 +75,8 @@
 		return NotAccepting
 	case now.Before(a.rejectOpeningsUntil) && !header.LastAttempt:
 		return NoResponse
-	case !a.warmUp.Admits(now):
+	}
+	if !a.warmUp.Admits(now) {
 		return WarmingUp
 	}
 	return a.admissionVerdict(header)
