--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -45,6 +45,8 @@
 	rejections rejectionCounters
 	// awaitsTerms is set while openings are rejected until control has sent terms.
 	awaitsTerms bool
+	// reportedWarmUp is the state of the warm-up in the last log line about it.
+	reportedWarmUp steering.WarmUpStatus
 }
 
 // NewAgent opens the sockets of an agent. Run processes packets.
@@ -71,6 +73,7 @@
 		a.setGauge("flows", flows)
 		a.setGauge("requests", requests)
 		a.updateAwaitsTerms(now, false)
+		a.reportWarmUp(now)
 	}
 	shared.nextDeadline = a.core.Deadline
 	a.execute = a.executeAction
@@ -92,6 +95,7 @@
 	return steering.AgentConfig{
 		Service: cfg.Service, CheckInInterval: cfg.CheckInInterval, IdleTimeout: maxFlowAge, MaxFlows: cfg.maxFlows(), StartedAt: startedAt,
 		Zone: cfg.Zone, ZoneOrderBound: cfg.ZoneOrderBound,
+		WarmUpOvershoot: cfg.WarmUpOvershoot, WarmUpSlack: cfg.WarmUpSlack, TermsAlwaysSent: cfg.ZoneOrderBound > 0,
 	}
 }
 
@@ -150,6 +154,7 @@
 	a.runDecision(now, func(out *[]steering.Action) { changed = decision(out) })
 	current, _ := a.core.Upstream()
 	stopping := a.stopping
+	a.reportWarmUp(now)
 	a.mu.Unlock()
 	if !changed || stopping {
 		return
@@ -275,12 +280,15 @@
 		if verdict := action.Message.Verdict.String(); verdict != "" {
 			entry.Reason = verdict
 		}
-		switch action.Message.Kind {
-		case steering.LookupResponse:
+		switch kind := action.Message.Kind; {
+		case kind == steering.LookupResponse:
 			// recordLookupVerdicts writes an entry for each flow.
-		case steering.OpeningAccepted:
+		case kind == steering.OpeningRejected && action.Message.Verdict == steering.WarmingUp:
+			a.rejections.increment(action.Message.Verdict)
+			a.Decisions.LogRateLimited(entry)
+		case kind == steering.OpeningAccepted:
 			a.Decisions.LogRateLimited(entry)
-		case steering.OpeningRejected:
+		case kind == steering.OpeningRejected:
 			a.rejections.increment(action.Message.Verdict)
 			a.Decisions.LogAlways(entry)
 		default:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bramleyhold.example/bramleyhold/internal/loopback"
 	"bramleyhold.example/bramleyhold/platform/platformtest"
 )
 
@@ -19,7 +20,7 @@
 // record a breach of its kind.
 func TestEachCheckRecordsItsBreach(t *testing.T) {
 	key := flowKey{netip.MustParseAddrPort("127.80.0.201:1024"), virtualAddresses[0]}
-	agent := &process{settings: platformtest.Settings{Zone: "a", Address: netip.MustParseAddr("127.80.0.101")}}
+	agent := &process{settings: platformtest.Settings{Zone: "a", Address: loopback.NumberedHost(1)}}
 	for name, test := range map[string]struct {
 		act  func(d *deployment, u *upstream)
 		kind string
@@ -45,6 +46,18 @@
 			d.zoneOut, d.zoneOutSince = "b", time.Now().Add(-zoneOrderBound-time.Second)
 			u.checkOpening(&platformtest.Packet{To: virtualAddresses[0]})
 		}, ""},
+		"more openings than a cold upstream bears": {func(_ *deployment, u *upstream) {
+			u.startedAt = time.Now()
+			for range coldBound + 1 {
+				u.checkOpening(&platformtest.Packet{To: virtualAddresses[0]})
+			}
+		}, "COLD"},
+		"as many as it bears": {func(_ *deployment, u *upstream) {
+			u.startedAt = time.Now()
+			for range coldBound {
+				u.checkOpening(&platformtest.Packet{To: virtualAddresses[0]})
+			}
+		}, ""},
 		"an established flow is reset": {func(d *deployment, _ *upstream) { d.checkReset(key) }, "FLOW"},
 		"a reset long after a fault": {func(d *deployment, _ *upstream) {
 			d.recordUnplannedFault(time.Now().Add(-5*time.Second), agent.address())
@@ -64,7 +77,7 @@
 			d := newDeployment(Options{}, t.TempDir())
 			d.routedServices[virtualAddresses[0]] = map[string]bool{"orders": true}
 			u := &upstream{deployment: d, agent: agent, id: "i-1", service: "orders", flows: map[flowKey]*upstreamFlow{key: {established: true}}}
-			d.upstreams[netip.MustParseAddrPort("127.80.0.101:18504")] = u
+			d.upstreams[netip.MustParseAddrPort(loopback.NumberedHost(1).String() + ":18504")] = u
 			test.act(d, u)
 			if test.kind == "" {
 				require.Empty(t, d.breaches)
@@ -82,9 +95,9 @@
 	d := newDeployment(Options{}, t.TempDir())
 	d.routedServices[virtualAddresses[0]] = map[string]bool{"orders": true}
 	key := flowKey{netip.MustParseAddrPort("127.80.0.201:1024"), virtualAddresses[0]}
-	agent := &process{settings: platformtest.Settings{Address: netip.MustParseAddr("127.80.0.101")}}
+	agent := &process{settings: platformtest.Settings{Address: loopback.NumberedHost(1)}}
 	u := &upstream{deployment: d, agent: agent, id: "i-1", service: "orders", flows: map[flowKey]*upstreamFlow{}}
-	d.upstreams[netip.MustParseAddrPort("127.80.0.101:18504")] = u
+	d.upstreams[netip.MustParseAddrPort(loopback.NumberedHost(1).String() + ":18504")] = u
 	var checks sync.WaitGroup
 	for _, check := range []func(){
 		func() { d.checkReset(key) },
@@ -136,9 +149,8 @@
 // processes are started. Otherwise the soak reports a failure of its own.
 func TestUpstreamFollowsAnotherWhileProcessesStart(t *testing.T) {
 	d := &deployment{upstreams: map[netip.AddrPort]*upstream{}, client: &http.Client{}}
-	agent := &process{settings: platformtest.Settings{
-		Address: netip.MustParseAddr("127.80.0.102"), App: netip.MustParseAddrPort("127.80.0.102:18504"), Service: "orders",
-	}}
+	host := loopback.NumberedHost(2)
+	agent := &process{settings: platformtest.Settings{Address: host, App: netip.AddrPortFrom(host, 18504), Service: "orders"}}
 	ctx, cancel := context.WithCancel(t.Context())
 	starters := sync.WaitGroup{}
 	for range 4 {
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -6,6 +6,7 @@
 
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/service"
+	"bramleyhold.example/bramleyhold/internal/warmup"
 	"bramleyhold.example/bramleyhold/internal/zone"
 )
 
@@ -40,6 +41,11 @@
 	MaxFlows int
 	// StartedAt is when this process began to receive the packets of its upstream.
 	StartedAt time.Time
+	// A cold upstream may get at most its stated rate times WarmUpOvershoot, and
+	// WarmUpSlack more, openings within any second.
+	WarmUpOvershoot, WarmUpSlack float64
+	// TermsAlwaysSent is set if control sends terms also where there is nothing to tell.
+	TermsAlwaysSent bool
 }
 
 // Agent steers packets for the process beside one upstream.
@@ -85,6 +91,11 @@
 	// awaitTermsUntil is set after a suspension. lastActivityAt is when the agent last
 	// handled a packet or a Tick.
 	awaitTermsUntil, lastActivityAt time.Time
+	warmUp                          *warmup.Limiter
+	// warmUpPeak is the highest number of openings within a second of the last warm-up.
+	// warmUpPeakEnded is set by openings after it.
+	warmUpPeak      int
+	warmUpPeakEnded bool
 }
 
 // NewAgent returns an agent that has received no check-in.
@@ -92,7 +103,9 @@
 	if cfg.CheckInInterval == 0 {
 		cfg.CheckInInterval = defaultCheckInInterval
 	}
-	return &Agent{cfg: cfg, serviceTag: NewServiceTag(cfg.Service), flows: map[flow.Key]*heldFlow{}, unconfirmedFlows: map[flow.Key]unconfirmedFlow{}, returnedFlows: map[flow.Key]time.Time{}}
+	limiter := warmup.NewLimiter(warmup.Config{Overshoot: cfg.WarmUpOvershoot, Slack: cfg.WarmUpSlack, RateUnknownUntil: cfg.StartedAt.Add(rateUnknownWait), AwaitsRate: cfg.TermsAlwaysSent})
+	limiter.AssumeFull(cfg.StartedAt)
+	return &Agent{cfg: cfg, warmUp: limiter, serviceTag: NewServiceTag(cfg.Service), flows: map[flow.Key]*heldFlow{}, unconfirmedFlows: map[flow.Key]unconfirmedFlow{}, returnedFlows: map[flow.Key]time.Time{}}
 }
 
 // Upstream returns the last check-in and whether there was one.
@@ -146,6 +159,9 @@
 		a.setStage(held, stageIdle)
 		held.finished = true
 	case packet.Payload > 0 && held.stage != stageInProgress:
+		if held.stage != stageAwaitingRequest {
+			a.warmUp.RecordRequest(now)
+		}
 		held.requestStartedAt, held.measureServiceTime = now, a.stageCounts[stageInProgress] < a.upstream.Slots
 		a.setStage(held, stageInProgress)
 	}
--- a/internal/steering/agent_opening.go
+++ b/internal/steering/agent_opening.go
@@ -34,6 +34,11 @@
 func (a *Agent) handleOpening(now time.Time, packet *Packet, held *heldFlow, header ForwardingHeader, balancer netip.Addr, data []byte, actions *[]Action) {
 	if held != nil && !held.upstreamExited && held.openingSequence == packet.Sequence && held.incarnation == a.upstream.Incarnation {
 		held.balancer = balancer
+		if !a.admitsCopy(now) {
+			*actions = append(*actions, Action{Kind: Drop, Reason: UpstreamCold, Flow: packet.Flow})
+			return
+		}
+		a.recordOpening(now)
 		*actions = append(*actions, Action{Kind: Deliver, Reason: Repeated, Flow: packet.Flow, Data: data})
 		return
 	}
@@ -56,6 +61,7 @@
 	a.flows[packet.Flow] = held
 	a.pendingOpenings = append(a.pendingOpenings, pendingOpening{key: packet.Flow, sequence: packet.Sequence, deliveredAt: now})
 	a.scheduleSweep(now)
+	a.recordOpening(now)
 	*actions = append(*actions, Action{Kind: Deliver, Reason: Placed, Flow: packet.Flow, Data: data})
 }
 
@@ -73,6 +79,9 @@
 	if verdict := a.zoneVerdict(now); verdict != 0 {
 		return verdict
 	}
+	if !a.warmUp.Admits(now) {
+		return WarmingUp
+	}
 	return a.admissionVerdict(header)
 }
 
--- a/internal/steering/agent_zone.go
+++ b/internal/steering/agent_zone.go
@@ -55,6 +55,7 @@
 	}
 	returned := a.termsKnown && terms.OwnZoneReturns > a.terms.OwnZoneReturns
 	a.terms, a.termsKnown, a.unconfirmed = terms, true, unconfirmedTerms{}
+	a.applyWarmUpTerms(now)
 	if returned {
 		a.presumeCold(now)
 	}
--- a/internal/steering/exclusion.go
+++ b/internal/steering/exclusion.go
@@ -21,6 +21,9 @@
 	// excludedAvoided: it has rejected an opening or not responded to one shortly before.
 	// It gets an opening all the same if no other upstream is left.
 	excludedAvoided
+	// excludedWarmingUp: it has rejected an opening shortly before because it is cold, or
+	// this balancer alone has sent it more than it bears.
+	excludedWarmingUp
 )
 
 // exclusionOf returns the first cause that applies to an upstream and an opening.
@@ -30,6 +33,8 @@
 		return excludedStatus
 	case b.terms.isOut(upstream.Zone):
 		return excludedZone
+	case now.Before(upstream.warmUp.avoidUntil) || upstream.isColdAndFull(now, b.warmUpRates[upstream.Service]):
+		return excludedWarmingUp
 	case now.Before(upstream.overloadedUntil):
 		return excludedOverloaded
 	case slices.Contains(entry.attemptedAgents, upstream.Address.Addr()):
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -117,6 +117,11 @@
 	// could accept it are in zones that are out of service.
 	ZonesOutOfService Reason = "zones_out"
 	NoDesiredState    Reason = "no_desired_state"
+	// AllWarmingUp: the opening is refused because the upstreams that could take it are
+	// cold and have rejected openings shortly before. UpstreamCold: a copy of an opening
+	// is dropped because the upstream is cold.
+	AllWarmingUp Reason = "all_warming_up"
+	UpstreamCold Reason = "warming_up"
 	// NotReady: the opening is rejected. Its verdict has the cause.
 	NotReady Reason = "not_ready"
 	NotHeld  Reason = "not_held"
