--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -77,7 +77,7 @@
 			d := newDeployment(Options{}, t.TempDir())
 			d.routedServices[virtualAddresses[0]] = map[string]bool{"orders": true}
 			u := &upstream{deployment: d, agent: agent, id: "i-1", service: "orders", flows: map[flowKey]*upstreamFlow{key: {established: true}}}
-			d.upstreams[netip.MustParseAddrPort(loopback.NumberedHost(1).String() + ":18504")] = u
+			d.upstreams[netip.MustParseAddrPort(loopback.NumberedHost(1).String()+":18504")] = u
 			test.act(d, u)
 			if test.kind == "" {
 				require.Empty(t, d.breaches)
@@ -97,7 +97,7 @@
 	key := flowKey{netip.MustParseAddrPort("127.80.0.201:1024"), virtualAddresses[0]}
 	agent := &process{settings: platformtest.Settings{Address: loopback.NumberedHost(1)}}
 	u := &upstream{deployment: d, agent: agent, id: "i-1", service: "orders", flows: map[flowKey]*upstreamFlow{}}
-	d.upstreams[netip.MustParseAddrPort(loopback.NumberedHost(1).String() + ":18504")] = u
+	d.upstreams[netip.MustParseAddrPort(loopback.NumberedHost(1).String()+":18504")] = u
 	var checks sync.WaitGroup
 	for _, check := range []func(){
 		func() { d.checkReset(key) },
