consensus: voters chosen by availability zone

Seen: with MaxZoneLosses 1 in the settings, a leader promotes the first learner whose log is complete. In 8 of 20 schedules on virtual time (three or four zones, of which one may be lost) one zone held half of the voters or more after a few losses and replacements.

Cause: the leader knows no zones.

Change: Core.SetZones has the zones of the VMs, Options.MaxZoneLosses how many may be lost. voterPlan, a function of the leader's state, decides as before and in addition: which learner first, which voter is given up, no single voter more where that ends the tolerance of a zone loss, and the exchange of a voter of a crowded zone, one change at a time. With MaxZoneLosses 0 the decisions are those of before. No message changes.

Conclusion: a zone may be lost with the majority kept wherever the replicas allow it.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -14,6 +14,7 @@
 	"bramleyhold.example/bramleyhold/internal/consensus"
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/vm"
+	"bramleyhold.example/bramleyhold/internal/zone"
 )
 
 const (
@@ -66,8 +67,11 @@
 	// replaceVoterAfter is four election timeouts if it is zero.
 	replaceVoterAfter time.Duration
 	initialVoters     int
-	lastReadID        uint64
-	snapshotInstalls  int
+	// maxZoneLosses and zones are passed to new replicas.
+	maxZoneLosses    int
+	zones            map[vm.ID]zone.ID
+	lastReadID       uint64
+	snapshotInstalls int
 }
 
 func newCluster(t *testing.T, count int, seed uint64) *cluster {
@@ -95,7 +99,7 @@
 	options := consensus.DefaultOptions(consensus.ReplicaID{VM: replica.id, Incarnation: c.lastIncarnation}, peers)
 	options.ElectionTimeout, options.HeartbeatInterval, options.MaxBatchBytes, options.MaxInflightBatches = electionTimeout, heartbeatInterval, 600, 3
 	options.TargetVoters, options.ReplaceVoterAfter, options.NoBootstrap = c.targetVoters, 4*electionTimeout, replica.noBootstrap
-	options.MaxVoters = c.maxVoters
+	options.MaxVoters, options.MaxZoneLosses = c.maxVoters, c.maxZoneLosses
 	if c.replaceVoterAfter > 0 {
 		options.ReplaceVoterAfter = c.replaceVoterAfter
 	}
@@ -103,6 +107,7 @@
 	restored.Entries = slices.Clone(replica.disk.Entries)
 	core, err := consensus.New(options, restored, c.now, rand.New(rand.NewPCG(c.random.Uint64(), 2)))
 	require.NoError(c.t, err)
+	core.SetZones(c.zones)
 	replica.core, replica.pendingProposals, replica.pendingReads = core, map[uint64]func(uint64, intent.Result){}, map[uint64]func(bool, uint64){}
 	replica.restoreSnapshot(c.t, replica.disk.Snapshot)
 	c.processOutputs(replica)
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"bramleyhold.example/bramleyhold/internal/vm"
+	"bramleyhold.example/bramleyhold/internal/zone"
 )
 
 // Role is the Raft role of a replica in its current term.
@@ -48,6 +50,8 @@
 	// joinPeers are the VMs that receive join requests besides the peers of the
 	// bootstrap.
 	joinPeers []vm.ID
+	// zones has the availability zones of VMs, as far as they are known.
+	zones map[vm.ID]zone.ID
 
 	leaderState leaderState
 	// leaderCommit is the highest commit index that the current leader has sent.
@@ -156,6 +160,10 @@
 // the bootstrap.
 func (c *Core) SetJoinPeers(vms []vm.ID) { c.joinPeers = slices.Clone(vms) }
 
+// SetZones replaces the availability zones of the VMs. They are used if MaxZoneLosses is
+// above zero.
+func (c *Core) SetZones(zones map[vm.ID]zone.ID) { c.zones = maps.Clone(zones) }
+
 // isVoter reports whether this replica is a voter in the latest configuration.
 func (c *Core) isVoter() bool { return c.Configuration().isVoter(c.hardState.Self) }
 
--- a/internal/consensus/schedules_test.go
+++ b/internal/consensus/schedules_test.go
@@ -14,6 +14,7 @@
 	"bramleyhold.example/bramleyhold/internal/consensus"
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/vm"
+	"bramleyhold.example/bramleyhold/internal/zone"
 )
 
 // Schedules of membership: seeded series of losses and replacements, each within the
@@ -22,6 +23,7 @@
 	// scheduleSeedsVariable is the number of seeds of a long run.
 	scheduleSeedsVariable = "BRAMLEY_SCHEDULE_SEEDS"
 	defaultScheduleSeeds  = 50
+	defaultZoneSeeds      = 10
 	scheduleRounds        = 5
 	// scheduleRecovery is the time after the last event in which a change must be committed.
 	// The platform gives 20 election timeouts.
@@ -35,8 +37,9 @@
 type schedule struct {
 	*cluster
 	random *rand.Rand
-	// losses is how many replicas may be lost at the same time.
-	losses int
+	// losses is how many replicas may be lost at the same time. zoneCount is the number of
+	// zones, one of which may be lost instead, or zero.
+	losses, zoneCount int
 	// members are the replicas that have not been removed.
 	members []*testReplica
 	// due holds the functions to call at a time.
@@ -52,23 +55,51 @@
 	call func()
 }
 
-func newSchedule(t *testing.T, seed uint64) *schedule {
+func newSchedule(t *testing.T, seed uint64, zoneCount int) *schedule {
 	random := rand.New(rand.NewPCG(seed, 10))
 	losses := 1 + int(seed%2)
-	c := newOpenMembershipCluster(t, 2*losses+1, 2*losses+1, seed)
+	initialVoters := 2*losses + 1
+	if zoneCount > 0 && random.IntN(2) == 0 {
+		initialVoters = 3
+	}
+	c := newOpenMembershipCluster(t, initialVoters, 2*losses+1, seed)
 	c.maxVoters, c.replaceVoterAfter = 4*losses+1, catchUpTime/2
+	s := &schedule{cluster: c, random: random, losses: losses, zoneCount: zoneCount, leaders: map[uint64]vm.ID{}, members: slices.Clone(c.replicas)}
+	c.zones, c.maxZoneLosses = map[vm.ID]zone.ID{}, min(zoneCount, 1)
+	for i, replica := range c.replicas {
+		s.zones[replica.id] = s.zoneOf(i)
+	}
 	for _, replica := range c.replicas {
 		c.start(replica) // with maxVoters
 	}
-	s := &schedule{cluster: c, random: random, losses: losses, leaders: map[uint64]vm.ID{}, members: slices.Clone(c.replicas)}
 	s.stepUntil("the first change", func() bool { s.proposeChange(); return s.acknowledged > 0 })
+	for i := initialVoters; i < 2*losses+1; i++ {
+		s.addMember(s.zoneOf(i))
+	}
 	for range random.IntN(4) {
-		s.addMember()
+		s.addMember(s.anyZone())
 	}
 	s.run(catchUpTime)
+	s.requireZoneRule()
 	return s
 }
 
+// zoneOf returns a zone by its number, and the zero zone in a schedule without zones.
+func (s *schedule) zoneOf(number int) zone.ID {
+	if s.zoneCount == 0 {
+		return zone.ID{}
+	}
+	return zone.ID{Region: "r", Name: fmt.Sprint("z", number%s.zoneCount)}
+}
+
+// anyZone returns a random zone.
+func (s *schedule) anyZone() zone.ID {
+	if s.zoneCount == 0 {
+		return zone.ID{}
+	}
+	return s.zoneOf(s.random.IntN(s.zoneCount))
+}
+
 func (s *schedule) after(delay time.Duration, call func()) {
 	s.due = append(s.due, dueCall{at: s.now.Add(delay), call: call})
 }
@@ -118,6 +149,7 @@
 	for _, replica := range s.members {
 		if replica.core != nil {
 			replica.core.SetJoinPeers(ids)
+			replica.core.SetZones(s.zones)
 		}
 	}
 }
@@ -175,12 +207,13 @@
 // replaceUnplanned removes a replica without notice. Its successor starts later.
 func (s *schedule) replaceUnplanned(replica *testReplica) {
 	s.remove(replica)
-	s.after(s.randomTime(3*electionTimeout), s.addMember)
+	s.after(s.randomTime(3*electionTimeout), func() { s.addMember(s.zones[replica.id]) })
 }
 
-func (s *schedule) addMember() {
+func (s *schedule) addMember(in zone.ID) {
 	replica := s.addReplica()
-	s.logf("%s is added", replica.id)
+	s.zones[replica.id] = in
+	s.logf("%s is added in zone %s", replica.id, in.Name)
 	s.members = append(s.members, replica)
 }
 
@@ -196,8 +229,8 @@
 	old := slices.Clone(s.members)
 	s.random.Shuffle(len(old), func(i, j int) { old[i], old[j] = old[j], old[i] })
 	count := 1 + s.random.IntN(2)
-	for range count {
-		s.addMember()
+	for _, replica := range old[:count] {
+		s.addMember(s.zones[replica.id])
 	}
 	s.run(catchUpTime)
 	for _, replica := range old[:count] {
@@ -225,9 +258,12 @@
 // round plays one event, or several at the same time if the limits allow it, and waits
 // until no replica counts as lost.
 func (s *schedule) round() {
-	if s.random.IntN(3) == 0 {
+	switch {
+	case s.random.IntN(3) == 0:
 		s.replacePlanned()
-	} else {
+	case s.zoneCount > 0 && s.random.IntN(3) == 0:
+		s.loseZone(s.anyZone())
+	default:
 		for _, i := range s.random.Perm(len(s.members))[:1+s.random.IntN(s.losses)] {
 			replica := s.members[i]
 			unplanned := s.random.IntN(4) == 0
@@ -242,14 +278,58 @@
 		s.run(0)
 	}
 	s.run(catchUpTime)
+	s.requireZoneRule()
 }
 
-// Guards against groups that can never form a majority again, and against lost changes:
-// lost disks, kills, cuts and replacements in series, each within the limits. Set
-// BRAMLEY_SCHEDULE_SEEDS for a longer run.
-func TestSchedulesOfMembership(t *testing.T) {
-	seeds := slices.Clone(keptScheduleSeeds)
-	count := uint64(defaultScheduleSeeds)
+// loseZone takes all replicas of a zone away for a while: each in its own way, or by a cut
+// between the zone and the others.
+func (s *schedule) loseZone(lost zone.ID) {
+	if s.random.IntN(3) == 0 {
+		s.logf("zone %s is cut off", lost.Name)
+		s.setZoneCut(lost, true)
+		s.after(s.randomTime(10*electionTimeout), func() { s.setZoneCut(lost, false) })
+		s.run(0)
+		return
+	}
+	s.logf("zone %s is lost", lost.Name)
+	for _, replica := range s.members {
+		if s.zones[replica.id] == lost {
+			s.after(s.randomTime(electionTimeout), func() { s.lose(replica) })
+		}
+	}
+	s.run(0)
+}
+
+// setZoneCut cuts the links between a zone and the others, or restores them.
+func (s *schedule) setZoneCut(cut zone.ID, blocked bool) {
+	for _, a := range s.members {
+		for _, b := range s.members {
+			if (s.zones[a.id] == cut) != (s.zones[b.id] == cut) {
+				s.blockedLinks[[2]vm.ID{a.id, b.id}] = blocked
+			}
+		}
+	}
+}
+
+// requireZoneRule fails the test if the loss of a zone would end the majority of the
+// voters.
+func (s *schedule) requireZoneRule() {
+	if s.zoneCount == 0 {
+		return
+	}
+	voters, perZone := s.leaderVoters(), map[zone.ID]int{}
+	for _, r := range voters {
+		perZone[s.zones[r.VM]]++
+	}
+	for lost, count := range perZone {
+		require.Greater(s.t, len(voters)-count, len(voters)/2, "voters %v: a loss of zone %s ends the majority", voters, lost)
+	}
+}
+
+// scheduleSeeds returns the seeds of a run: those that have failed before, and the first
+// ones, up to a default number or that of the environment.
+func scheduleSeeds(t *testing.T, kept []uint64, count uint64) []uint64 {
+	seeds := slices.Clone(kept)
 	if text := os.Getenv(scheduleSeedsVariable); text != "" {
 		var err error
 		count, err = strconv.ParseUint(text, 10, 64)
@@ -258,19 +338,43 @@
 	for seed := range count {
 		seeds = append(seeds, seed)
 	}
-	for _, seed := range seeds {
+	return seeds
+}
+
+// runSchedule plays the rounds of a schedule. Then a change must be committed in time, and
+// all members must receive the changes.
+func runSchedule(t *testing.T, seed uint64, zoneCount int) {
+	s := newSchedule(t, seed, zoneCount)
+	for range scheduleRounds {
+		s.round()
+	}
+	before, acknowledged := s.now, s.acknowledged
+	s.stepUntil("a change after the last event", func() bool { s.proposeChange(); return s.acknowledged > acknowledged })
+	require.Less(t, s.now.Sub(before), scheduleRecovery)
+	s.stepUntil("all members have the changes", func() bool {
+		return !slices.ContainsFunc(s.members, func(replica *testReplica) bool { return replica.state.Revision < acknowledged })
+	})
+}
+
+// Guards against groups that can never form a majority again, and against lost changes:
+// lost disks, kills, cuts and replacements in series, each within the limits. Set
+// BRAMLEY_SCHEDULE_SEEDS for a longer run.
+func TestSchedulesOfMembership(t *testing.T) {
+	for _, seed := range scheduleSeeds(t, keptScheduleSeeds, defaultScheduleSeeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			s := newSchedule(t, seed)
-			for range scheduleRounds {
-				s.round()
-			}
-			before, acknowledged := s.now, s.acknowledged
-			s.stepUntil("a change after the last event", func() bool { s.proposeChange(); return s.acknowledged > acknowledged })
-			require.Less(t, s.now.Sub(before), scheduleRecovery)
-			s.stepUntil("all members have the changes", func() bool {
-				return !slices.ContainsFunc(s.members, func(replica *testReplica) bool { return replica.state.Revision < acknowledged })
-			})
+			runSchedule(t, seed, 0)
+		})
+	}
+}
+
+// The same with replicas in three or four zones, of which one may be lost. Guards against
+// voters of which too many are in one zone after the time in which lost replicas return.
+func TestSchedulesOfMembershipByZone(t *testing.T) {
+	for _, seed := range scheduleSeeds(t, nil, defaultZoneSeeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			runSchedule(t, seed, 3+int(seed/2%2))
 		})
 	}
 }
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -132,6 +132,9 @@
 	// MaxVoters bounds the voters that the leader adds beyond TargetVoters while more
 	// replicas are eligible. If it is at most TargetVoters, none are added.
 	MaxVoters int
+	// MaxZoneLosses is the number of availability zones whose loss at the same time must
+	// leave a majority. If it is zero, zones do not matter.
+	MaxZoneLosses int
 	// ReplaceVoterAfter is the time without a response from a voter after which it
 	// becomes a learner, if an eligible learner can replace it or if TargetVoters others
 	// remain. It is used only if TargetVoters is above zero.
--- a/internal/consensus/voters.go
+++ b/internal/consensus/voters.go
@@ -1,11 +1,8 @@
 package consensus
 
 import (
-	"cmp"
 	"slices"
 	"time"
-
-	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
 // maxPromotionLag bounds the number of entries of the leader's log that a learner may
@@ -29,52 +26,18 @@
 }
 
 // nextVoterChange returns the configuration that follows from the state of the
-// replicas. It returns false if the voters need no change. In the order of precedence:
-//
-//   - A voter that is about to stop, or has not responded for ReplaceVoterAfter, becomes
-//     a learner if TargetVoters others remain.
-//   - A learner that is eligible for promotion becomes a voter while there are fewer than
-//     TargetVoters, or in place of a voter that is about to stop.
-//   - An even number of voters grows by an eligible learner, up to MaxVoters. It needs a
-//     larger majority than the odd number below it and tolerates no more losses.
-//   - A voter that has not responded for ReplaceVoterAfter becomes a learner if an
-//     eligible learner can take its place.
-//   - While all voters respond, eligible learners become voters in pairs, up to
-//     MaxVoters. This answers removals of several VMs whose successors already run: a
-//     majority that counts the successors survives them, however close they are.
+// replicas. It returns false if the voters need no change.
 func (c *Core) nextVoterChange(now time.Time, current Configuration) (Configuration, bool) {
-	eligible := c.eligibleLearners(now, current)
-	target := c.options.TargetVoters
-	if target == 0 || len(current.Voters) < target {
-		return promoteFirst(current, eligible)
-	}
-	leaving, isLeaving := c.leavingVoter(now, current)
-	unresponsive, isUnresponsive := c.longestUnresponsiveVoter(now, current)
-	switch {
-	case isLeaving && len(current.Voters) > target:
-		return current.withLearner(leaving), true
-	case isLeaving && len(eligible) > 0:
-		return promoteFirst(current, eligible)
-	case len(current.Voters)%2 == 0 && len(eligible) > 0 && len(current.Voters) < c.options.MaxVoters:
-		return promoteFirst(current, eligible)
-	case isUnresponsive && (len(current.Voters) > target || len(eligible) > 0):
-		return current.withLearner(unresponsive), true
-	case len(eligible) > 1 && len(current.Voters)+1 < c.options.MaxVoters && c.allVotersRespond(now, current):
-		return promoteFirst(current, eligible)
+	plan := voterPlan{
+		zoneRule: zoneRule{maxLosses: c.options.MaxZoneLosses, zones: c.zones, absent: map[ReplicaID]bool{}},
+		self:     c.hardState.Self, current: current, target: c.options.TargetVoters, limit: c.options.MaxVoters,
+		eligible: c.eligibleLearners(now, current), pending: c.pendingLearners(now, current),
+		leaving: c.leavingVoters(now, current), unresponsive: c.unresponsiveVoters(now, current), allRespond: c.allVotersRespond(now, current),
 	}
-	return Configuration{}, false
-}
-
-// promoteFirst makes the first of the given learners a voter. It returns false if there
-// is none.
-func promoteFirst(current Configuration, learners []ReplicaID) (Configuration, bool) {
-	if len(learners) == 0 {
-		return Configuration{}, false
+	for _, r := range slices.Concat(plan.leaving, plan.unresponsive) {
+		plan.absent[r] = true
 	}
-	next := current.withoutVM(learners[0].VM)
-	next.Voters = append(next.Voters, learners[0])
-	slices.SortFunc(next.Voters, func(a, b ReplicaID) int { return cmp.Compare[vm.ID](a.VM, b.VM) })
-	return next, true
+	return plan.next()
 }
 
 // eligibleLearners returns the learners that may become voters: they have responded
@@ -92,6 +55,20 @@
 	return eligible
 }
 
+// pendingLearners returns the learners that respond, are not about to stop and lack at most
+// maxPromotionLag entries as far as the leader knows.
+func (c *Core) pendingLearners(now time.Time, configuration Configuration) []ReplicaID {
+	var pending []ReplicaID
+	for _, r := range configuration.Learners {
+		p, ok := c.leaderState.progress[r]
+		if ok && c.isResponsive(now, p) && !now.Before(p.leavingUntil) &&
+			(p.matchIndex == 0 || p.matchIndex+maxPromotionLag >= c.log.lastIndex()) {
+			pending = append(pending, r)
+		}
+	}
+	return pending
+}
+
 func (c *Core) isResponsive(now time.Time, p *progress) bool {
 	return now.Sub(p.lastResponseAt) <= c.options.ElectionTimeout
 }
@@ -107,26 +84,30 @@
 	return true
 }
 
-// leavingVoter returns a voter that has requested to leave.
-func (c *Core) leavingVoter(now time.Time, configuration Configuration) (ReplicaID, bool) {
+// leavingVoters returns the voters that have requested to leave.
+func (c *Core) leavingVoters(now time.Time, configuration Configuration) []ReplicaID {
+	var leaving []ReplicaID
 	for _, r := range configuration.Voters {
 		if p, ok := c.leaderState.progress[r]; ok && now.Before(p.leavingUntil) {
-			return r, true
+			leaving = append(leaving, r)
 		}
 	}
-	return ReplicaID{}, false
+	return leaving
 }
 
-// longestUnresponsiveVoter returns the voter whose last response is the oldest. It
-// returns false if no voter has been unresponsive for longer than ReplaceVoterAfter.
-func (c *Core) longestUnresponsiveVoter(now time.Time, configuration Configuration) (ReplicaID, bool) {
-	longest, voter := c.options.ReplaceVoterAfter, ReplicaID{}
+// unresponsiveVoters returns the voters that have been unresponsive for longer than
+// ReplaceVoterAfter. The first one is the one whose last response is the oldest.
+func (c *Core) unresponsiveVoters(now time.Time, configuration Configuration) []ReplicaID {
+	var unresponsive []ReplicaID
 	for _, r := range configuration.Voters {
-		if p, ok := c.leaderState.progress[r]; ok && now.Sub(p.lastResponseAt) > longest {
-			longest, voter = now.Sub(p.lastResponseAt), r
+		if p, ok := c.leaderState.progress[r]; ok && now.Sub(p.lastResponseAt) > c.options.ReplaceVoterAfter {
+			unresponsive = append(unresponsive, r)
 		}
 	}
-	return voter, voter != ReplicaID{}
+	slices.SortStableFunc(unresponsive, func(a, b ReplicaID) int {
+		return c.leaderState.progress[a].lastResponseAt.Compare(c.leaderState.progress[b].lastResponseAt)
+	})
+	return unresponsive
 }
 
 // RequestLeave asks the leader to take the vote of this replica away, because its
