fabric, control: the zones of control processes reach the replica

Seen: fault_tolerance with zones = 1 changed nothing.

Cause: MaxZoneLosses was decoded and not used.

Change: each control process passes the zones of the control processes in its directory to its replica, at the start and when they change, and MaxZoneLosses to the options. The number of voters covers the greater of both losses. The line "voters changed" has the voters by zone, the gauge replica.voters.largest_zone the most in one zone.

Figures: go test ./internal/control ./internal/fabric passes. TestZonesReachReplica is new; it does not compile on the build before.

Conclusion: deployments with zones = 0 choose voters as before.

--- a/internal/control/raft_node.go
+++ b/internal/control/raft_node.go
@@ -10,6 +10,7 @@
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/logstore"
 	"bramleyhold.example/bramleyhold/internal/vm"
+	"bramleyhold.example/bramleyhold/internal/zone"
 )
 
 // leaveRetryInterval is the interval between requests to leave. It exceeds the time of
@@ -118,6 +119,20 @@
 	}
 }
 
+// SetZones sets the availability zones of the VMs with replicas, as far as they are known.
+// The voters are chosen by them if consensus.Options.MaxZoneLosses is above zero. The map
+// must not be changed afterwards. A later call replaces an earlier one.
+func (n *RaftNode) SetZones(zones map[vm.ID]zone.ID) {
+	select {
+	case <-n.replica.zones:
+	default:
+	}
+	select {
+	case n.replica.zones <- zones:
+	default:
+	}
+}
+
 // EncodedChange is a change as it is written to the log.
 type EncodedChange struct {
 	change  intent.Change
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -11,6 +11,7 @@
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/logstore"
 	"bramleyhold.example/bramleyhold/internal/vm"
+	"bramleyhold.example/bramleyhold/internal/zone"
 )
 
 const (
@@ -108,6 +109,7 @@
 	// consensus.Core.RequestLeave.
 	leaveRequests chan chan<- bool
 	joinPeers     chan []vm.ID
+	zones         chan map[vm.ID]zone.ID
 	stopped       chan struct{}
 
 	// pendingProposals are keyed by log index.
@@ -153,6 +155,7 @@
 		send: options.send, onPublish: options.onPublish,
 		compactEntries: options.compactEntries, inbox: make(chan consensus.Message, inboxSize), proposals: make(chan proposal, maxBatch),
 		readRequests: make(chan chan<- requestResult, maxBatch), transferRequests: make(chan struct{}, 1), leaveRequests: make(chan chan<- bool), joinPeers: make(chan []vm.ID, 1),
+		zones:   make(chan map[vm.ID]zone.ID, 1),
 		stopped: make(chan struct{}), pendingProposals: map[uint64]pendingProposal{}, pendingReads: map[uint64]chan<- requestResult{},
 	}
 	// Entries that were committed before the restart are applied before the
@@ -206,6 +209,8 @@
 			mayBeReplaced <- r.core.RequestLeave()
 		case joinPeers := <-r.joinPeers:
 			r.core.SetJoinPeers(joinPeers)
+		case zones := <-r.zones:
+			r.core.SetZones(zones)
 		}
 		r.drainQueues()
 		r.core.Tick(time.Now())
--- a/internal/fabric/control.go
+++ b/internal/fabric/control.go
@@ -116,7 +116,10 @@
 		c.Log.WithFields(logrus.Fields{"role": state.Role, "leader": state.Leader, "term": state.Term, "voters": len(state.Voters)}).Info("replica role or leader changed")
 	}
 	if previous == nil || !slices.Equal(previous.Voters, state.Voters) {
-		c.Log.WithFields(logrus.Fields{"voters": replicaNames(state.Voters), "learners": replicaNames(state.Learners), "term": state.Term}).Info("voters changed")
+		c.mu.Lock()
+		zones := c.recordVotersByZone(&state)
+		c.mu.Unlock()
+		c.Log.WithFields(logrus.Fields{"voters": replicaNames(state.Voters), "learners": replicaNames(state.Learners), "zones": zones, "term": state.Term}).Info("voters changed")
 	}
 	c.recordCatchUp(time.Now(), &state)
 	c.setGauge("replica.voters", len(state.Voters))
--- a/internal/fabric/control_replica.go
+++ b/internal/fabric/control_replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -14,6 +15,7 @@
 	"bramleyhold.example/bramleyhold/internal/directory"
 	"bramleyhold.example/bramleyhold/internal/logstore"
 	"bramleyhold.example/bramleyhold/internal/vm"
+	"bramleyhold.example/bramleyhold/internal/zone"
 )
 
 const (
@@ -49,6 +51,8 @@
 type joinPeers struct {
 	node      *control.RaftNode
 	addresses []netip.Addr
+	// zones has the availability zone of each.
+	zones map[vm.ID]zone.ID
 }
 
 // handOver transfers the leadership and the vote of the replica to others. The VM may be
@@ -106,7 +110,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.directoryServer.Leader = netip.Addr{}
-	c.joinPeers = joinPeers{}
+	c.joinPeers = joinPeers{zones: c.joinPeers.zones}
 }
 
 func (c *Control) openAndRunReplica(ctx context.Context) error {
@@ -145,7 +149,8 @@
 	}
 	options := consensus.DefaultOptions(self, peers)
 	options.NoBootstrap = !c.cfg.FirstStart
-	options.TargetVoters = max(2*c.cfg.MaxLosses+1, minVoters)
+	options.MaxZoneLosses = c.cfg.MaxZoneLosses
+	options.TargetVoters = max(2*max(c.cfg.MaxLosses, c.cfg.MaxZoneLosses)+1, minVoters)
 	options.MaxVoters = 2*options.TargetVoters - 1
 	options.ReplaceVoterAfter = c.replaceVoterAfter()
 	options.ElectionTimeout, options.HeartbeatInterval = electionTimeout, heartbeatInterval
@@ -186,23 +191,55 @@
 	return names
 }
 
-// updateJoinPeers passes the addresses of all control processes in the directory
-// to the replica. They can admit it to the group.
+// updateJoinPeers passes the addresses and the zones of all control processes in the
+// directory to the replica. They can admit it to the group.
 func (c *Control) updateJoinPeers() {
 	raft := c.raftNode.Load()
 	if raft == nil {
 		return
 	}
 	var addresses []netip.Addr
-	c.directoryServer.Table().Entries(vm.RoleControl, func(e *directory.Entry) { addresses = append(addresses, e.Address) })
+	zones := map[vm.ID]zone.ID{}
+	c.directoryServer.Table().Entries(vm.RoleControl, func(e *directory.Entry) {
+		addresses = append(addresses, e.Address)
+		if !e.Zone.IsZero() {
+			zones[replicaID(e.Address)] = e.Zone
+		}
+	})
 	slices.SortFunc(addresses, netip.Addr.Compare)
-	if raft == c.joinPeers.node && slices.Equal(addresses, c.joinPeers.addresses) {
+	if raft == c.joinPeers.node && slices.Equal(addresses, c.joinPeers.addresses) && maps.Equal(zones, c.joinPeers.zones) {
 		return
 	}
-	c.joinPeers = joinPeers{node: raft, addresses: addresses}
+	c.joinPeers = joinPeers{node: raft, addresses: addresses, zones: zones}
 	ids := make([]vm.ID, 0, len(addresses))
 	for _, a := range addresses {
 		ids = append(ids, replicaID(a))
 	}
 	raft.SetJoinPeers(ids)
+	raft.SetZones(zones)
+	c.recordVotersByZone(c.replicaState.Load())
+}
+
+// unknownZone stands for the zone of a replica whose control process is not in the
+// directory.
+const unknownZone = "unknown"
+
+// recordVotersByZone sets the gauge of the zone with the most voters, and returns the
+// numbers of voters by zone. It is called with the lock held.
+func (c *Control) recordVotersByZone(state *control.ReplicaState) map[string]int {
+	perZone, largest := map[string]int{}, 0
+	if state == nil {
+		return perZone
+	}
+	for _, r := range state.Voters {
+		id, ok := c.joinPeers.zones[r.VM]
+		if !ok {
+			perZone[unknownZone]++
+			continue
+		}
+		perZone[id.String()]++
+		largest = max(largest, perZone[id.String()])
+	}
+	c.setGauge("replica.voters.largest_zone", largest)
+	return perZone
 }
--- a/internal/fabric/control_test.go
+++ b/internal/fabric/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
@@ -15,10 +16,13 @@
 	"github.com/stretchr/testify/require"
 
 	replication "bramleyhold.example/bramleyhold/internal/control"
+	"bramleyhold.example/bramleyhold/internal/directory"
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/logstore"
 	"bramleyhold.example/bramleyhold/internal/logstore/logstoretest"
 	"bramleyhold.example/bramleyhold/internal/loopback"
+	"bramleyhold.example/bramleyhold/internal/vm"
+	"bramleyhold.example/bramleyhold/internal/zone"
 )
 
 // A voter that was removed without notice must be replaced before its successor has run
@@ -67,6 +71,19 @@
 	t.Cleanup(func() { cancel(); require.NoError(t, <-stopped) })
 }
 
+// The zones of the directory must reach the replica, and the number of losses its options.
+func TestZonesReachReplica(t *testing.T) {
+	control := newTestControl(t)
+	control.cfg.MaxZoneLosses = 2
+	options := control.consensusOptions()
+	require.Equal(t, 2, options.MaxZoneLosses)
+	require.Equal(t, 5, options.TargetVoters, "two zones of three cannot be lost")
+	control.directoryServer.Table().Put(time.Now(), &directory.Record{Role: vm.RoleControl, Address: control.cfg.Address, Zone: zone.ID{Region: "r", Name: "a"}, ProcessIncarnation: math.MaxUint64})
+	runControl(t, control)
+	gauge := metrics.GetOrRegisterGauge("replica.voters.largest_zone", control.Registry)
+	require.Eventually(t, func() bool { return gauge.Value() == 1 }, 10*time.Second, 10*time.Millisecond)
+}
+
 // Guards against a process that names itself as the leader while its disk is full, and
 // against a replica that knows no control process to join after its disk has room again.
 func TestReplicaWithFullDisk(t *testing.T) {
