consensus: an exchange of voters promotes first, also at MaxVoters

Seen: with five voters of at most five, 0+2+3 in three zones, the exchange gave up a voter of the third zone before it promoted one of the first. With 0+2+2 a loss of the second zone ends the majority, which it did not before.

Cause: MaxVoters bounded the exchange.

Change: an exchange may have one voter more than MaxVoters between its two changes. The check of all distributions compares the losses of each zone, not only of the zone with the most voters. TestEachZoneMayBeLost takes the zones of eight replicas away one after the other, and two disks after each.

--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -130,7 +130,8 @@
 	// configuration are admitted, with a new incarnation after the loss of the disk.
 	TargetVoters int
 	// MaxVoters bounds the voters that the leader adds beyond TargetVoters while more
-	// replicas are eligible. If it is at most TargetVoters, none are added.
+	// replicas are eligible. If it is at most TargetVoters, none are added. While a voter is
+	// exchanged for one of another zone, there may be one more.
 	MaxVoters int
 	// MaxZoneLosses is the number of availability zones whose loss at the same time must
 	// leave a majority. If it is zero, zones do not matter.
--- a/internal/consensus/voters_by_zone.go
+++ b/internal/consensus/voters_by_zone.go
@@ -142,9 +142,8 @@
 //     and so does the number of voters that remain after any loss of the crowded zone.
 //   - From an even number, a voter of the crowded zone becomes a learner. The majority
 //     shrinks by one.
-//   - From an odd number above TargetVoters, a voter of the crowded zone becomes a learner
-//     if no learner may be added before. Then a learner of another zone is promoted, or a
-//     second voter becomes a learner.
+//   - From an odd number above TargetVoters, two voters of the crowded zone become
+//     learners if no learner of another zone is eligible.
 func (p *voterPlan) reduceShortfall() (Configuration, bool) {
 	voters := p.current.Voters
 	shortfall := p.shortfall(voters)
@@ -158,17 +157,13 @@
 		})
 		return p.current.withLearner(demoted), afterDemotion < shortfall && !isGrowing
 	}
-	if learner, ok := p.bestLearner(voters, p.eligible); ok && len(voters) < max(p.limit, p.target+1) {
+	if learner, ok := p.bestLearner(voters, p.eligible); ok && len(voters) <= max(p.limit, p.target) {
 		if _, afterSwap := p.bestDemotion(withVoter(voters, learner)); afterSwap < shortfall {
 			return p.promoteBest()
 		}
 	}
 	if len(voters) > p.target && p.allRespond {
-		remaining := withoutVoter(voters, demoted)
-		_, afterSecond := p.bestDemotion(remaining)
-		if learner, ok := p.bestLearner(remaining, p.eligible); ok {
-			afterSecond = min(afterSecond, p.shortfall(withVoter(remaining, learner)))
-		}
+		_, afterSecond := p.bestDemotion(withoutVoter(voters, demoted))
 		return p.current.withLearner(demoted), afterSecond < shortfall
 	}
 	return Configuration{}, false
--- a/internal/consensus/voters_by_zone_test.go
+++ b/internal/consensus/voters_by_zone_test.go
@@ -47,17 +47,28 @@
 }
 
 // requireNoLowerTolerance fails the test if a loss that the current voters survive ends the
-// majority of the next ones. Only between the two promotions of a pair may the loss of a
-// zone do so.
+// majority of the next ones. The loss of a zone may do so only between the two promotions of
+// a pair, and if the loss of another one does so already: below the target, and where the
+// replicas that run cannot survive the loss of each zone.
 func (p *voterPlan) requireNoLowerTolerance(t *testing.T, next Configuration) {
 	losses := (p.target - 1) / 2
 	borne := func(c Configuration) int {
 		return min(losses, len(slices.DeleteFunc(slices.Clone(c.Voters), func(r ReplicaID) bool { return p.absent[r] }))-c.quorum())
 	}
 	require.GreaterOrEqual(t, borne(next), borne(p.current), "%v becomes %v", p.current, next)
-	if p.shortfall(p.current.Voters) > 0 || p.shortfall(next.Voters) == 0 {
+	survives := func(c Configuration, lost string) bool {
+		remaining := slices.DeleteFunc(slices.Clone(c.Voters), func(r ReplicaID) bool { return p.absent[r] || p.zoneOf(r).Name == lost })
+		return len(remaining) >= c.quorum()
+	}
+	isLower := false
+	for _, id := range p.zones {
+		isLower = isLower || survives(p.current, id.Name) && !survives(next, id.Name)
+	}
+	grows := len(next.Voters) > len(p.current.Voters) && (len(next.Voters) <= p.target || !p.canSurvive())
+	if !isLower || grows && p.shortfall(p.current.Voters) > 0 {
 		return
 	}
+	require.Zero(t, p.shortfall(p.current.Voters), "%v becomes %v", p.current, next)
 	require.Len(t, next.Voters, len(p.current.Voters)+1)
 	require.Zero(t, len(next.Voters)%2, "%v becomes %v", p.current, next)
 	second := *p
@@ -68,6 +79,18 @@
 	require.True(t, p.shortfall(after.Voters) == 0 || len(next.Voters) < p.target, "%v becomes %v and then %v", p.current, next, after)
 }
 
+// canSurvive reports whether as many replicas as the target can survive the loss of a zone.
+func (p *voterPlan) canSurvive() bool {
+	perZone, usable := map[zone.ID]int{}, 0
+	for _, r := range slices.Concat(p.current.Voters, p.eligible) {
+		if id := p.zoneOf(r); !p.absent[r] && perZone[id] < (p.target-1)/2 {
+			perZone[id]++
+			usable++
+		}
+	}
+	return usable >= p.target
+}
+
 // settle applies the plan until it changes nothing, with a zone down if one is named. No
 // change may lower what the voters survive.
 func (p *voterPlan) settle(t *testing.T, down string) {
@@ -90,19 +113,16 @@
 // zone without the leader is down, and when it is back. The voters must then survive the
 // loss of a zone if as many as the target can.
 func requireZoneRuleReached(t *testing.T, losses int, voters, learners []int) {
-	p, replicas, canSurvive := zonePlan(losses, voters, learners), 0, 0
+	p := zonePlan(losses, voters, learners)
 	if len(p.current.Voters) > p.limit {
 		return // The leader adds none beyond the limit.
 	}
-	for i := range voters {
-		replicas += voters[i] + learners[i]
-		canSurvive += min(voters[i]+learners[i], losses)
-	}
+	replicas, canSurvive := len(p.current.Voters)+len(p.current.Learners), p.canSurvive()
 	requireReached := func() {
 		if replicas >= p.target {
 			require.GreaterOrEqual(t, len(p.current.Voters), p.target, "voters %v learners %v", voters, learners)
 		}
-		if canSurvive >= p.target {
+		if canSurvive {
 			require.Zero(t, p.shortfall(p.current.Voters), "voters %v learners %v end as %v", voters, learners, p.current)
 		}
 	}
@@ -110,7 +130,7 @@
 	requireReached()
 	settled := p.current
 	for i := range voters {
-		if down := fmt.Sprint(i); canSurvive >= p.target && p.zoneOf(p.self).Name != down {
+		if down := fmt.Sprint(i); canSurvive && p.zoneOf(p.self).Name != down {
 			p.current = settled
 			p.settle(t, down)
 			p.settle(t, "")
--- a/internal/consensus/voters_test.go
+++ b/internal/consensus/voters_test.go
@@ -10,6 +10,7 @@
 
 	"bramleyhold.example/bramleyhold/internal/consensus"
 	"bramleyhold.example/bramleyhold/internal/vm"
+	"bramleyhold.example/bramleyhold/internal/zone"
 )
 
 // catchUpTime is the time after which a replica that has started no longer counts as lost.
@@ -176,3 +177,44 @@
 	c.stepFor(electionTimeout)
 	require.Len(t, c.leaderVoters(), 3)
 }
+
+// Guards against a group without a majority after the loss of a zone, or of two VMs with
+// their disks: eight replicas in four zones, three of which bootstrap. Each zone is lost
+// once, also that of the leader, and changes are committed meanwhile.
+func TestEachZoneMayBeLost(t *testing.T) {
+	c := newCluster(t, 0, 16)
+	c.targetVoters, c.maxVoters, c.initialVoters, c.maxZoneLosses, c.replaceVoterAfter = 5, 9, 3, 1, catchUpTime/2
+	c.zones = map[vm.ID]zone.ID{}
+	zoneOf := func(i int) zone.ID { return zone.ID{Region: "r", Name: fmt.Sprint(i % 4)} }
+	for i := range 8 {
+		replica := &testReplica{id: vm.ID(fmt.Sprint("c", i)), noBootstrap: i >= c.initialVoters}
+		c.replicas, c.zones[replica.id] = append(c.replicas, replica), zoneOf(i)
+	}
+	for _, replica := range c.replicas {
+		c.start(replica)
+	}
+	c.stepUntil("seven voters", func() bool { return len(c.leaderVoters()) == 7 })
+	revision := uint64(0)
+	commit := func() {
+		require.Equal(t, revision+1, c.commitChange(trafficChange(fmt.Sprint("change ", revision), revision)).Revision)
+		revision++
+	}
+	for i := range 4 {
+		for _, replica := range c.replicas {
+			c.isolated[replica.id] = c.zones[replica.id] == zoneOf(i)
+		}
+		commit()
+		c.stepFor(catchUpTime)
+		clear(c.isolated)
+		c.stepFor(catchUpTime)
+		for _, replica := range c.replicas[i : i+2] {
+			c.crashAndWipe(replica)
+			replica.noBootstrap = true
+		}
+		commit()
+		for _, replica := range c.replicas[i : i+2] {
+			c.start(replica)
+		}
+		c.stepFor(catchUpTime)
+	}
+}
