--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bramleyhold.example/bramleyhold/internal/loopback"
 	"bramleyhold.example/bramleyhold/platform/platformtest"
 )
 
@@ -137,7 +138,7 @@
 func TestUpstreamFollowsAnotherWhileProcessesStart(t *testing.T) {
 	d := &deployment{upstreams: map[netip.AddrPort]*upstream{}, client: &http.Client{}}
 	agent := &process{settings: platformtest.Settings{
-		Address: netip.MustParseAddr("127.80.0.102"), App: netip.MustParseAddrPort("127.80.0.102:18504"), Service: "orders",
+		Address: loopback.Host, App: netip.AddrPortFrom(loopback.Host, appPort), Service: "orders",
 	}}
 	ctx, cancel := context.WithCancel(t.Context())
 	starters := sync.WaitGroup{}
