fabric, directory: orders about zones that left the settings; test of the wait for terms

An operator could not return a zone that was removed from the settings while it was out of service: 404. Zones that have had orders stay known to control.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -318,6 +318,35 @@
 	require.Len(t, c.Tick(c.Deadline()), 1)
 }
 
+// Load pattern: an agent was paused and cannot serve until it has terms, which each control
+// process may lack. It must ask all of them at once, some more times, and then go back to
+// one after the other.
+func TestProcessThatAwaitsTermsSyncsWithAll(t *testing.T) {
+	c := newClient(vm.RoleUpstream, 9, address(1), address(2), address(3))
+	for i := range 3 {
+		response := newServer(i + 1).Status()
+		c.HandleSyncResponse(start, address(i+1), response)
+	}
+	now := start.Add(time.Second)
+	require.Len(t, c.Tick(now), 1)
+	c.SetAwaitsTerms(now, true)
+	require.False(t, c.Deadline().After(now))
+	all := 0
+	for range 8 {
+		requests := c.Tick(now)
+		if len(requests) == 3 {
+			all++
+		}
+		for i := range requests {
+			c.HandleSyncResponse(now, requests[i].To, newServer(int(requests[i].To.As4()[3])).Status())
+		}
+		now = c.Deadline()
+	}
+	require.Equal(t, 6, all)
+	c.SetAwaitsTerms(now, false)
+	require.Len(t, c.Tick(now), 1)
+}
+
 // A process must also send requests to control processes that it learned from
 // responses, because its seeds may have been replaced.
 func TestControlProcessesAreLearned(t *testing.T) {
--- a/internal/fabric/terms_test.go
+++ b/internal/fabric/terms_test.go
@@ -134,6 +134,10 @@
 	_, err = control.OrderZone(t.Context(), "elsewhere", true)
 	require.NoError(t, err, "a zone that was added to the settings")
 
+	control.cfg.Zones, control.Dependencies.Reload = nil, func() (Config, error) { return Config{}, nil }
+	_, err = control.OrderZone(t.Context(), "elsewhere", false)
+	require.NoError(t, err, "a zone that was removed from the settings while it was out of service")
+
 	gone, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err = control.OrderZone(gone, testZone.Name, false)
--- a/internal/fabric/zone_orders.go
+++ b/internal/fabric/zone_orders.go
@@ -71,9 +71,15 @@
 }
 
 // findZone returns the zone with a name. It reads the settings again for one that it does
-// not know: the deployment may have a new zone.
+// not know: the deployment may have a new zone. A zone that has had orders stays known: it
+// may have been removed from the settings while it was out of service.
 func (c *Control) findZone(name string) (zone.ID, error) {
-	zones := c.cfg.Zones
+	zones := slices.Clone(c.cfg.Zones)
+	if state := c.replicaState.Load(); state != nil {
+		for i := range state.State.Zones {
+			zones = append(zones, state.State.Zones[i].Zone())
+		}
+	}
 	for range 2 {
 		if i := slices.IndexFunc(zones, func(id zone.ID) bool { return id.Name == name }); i >= 0 {
 			return zones[i], nil
