--- a/internal/control/zone_orders_test.go
+++ b/internal/control/zone_orders_test.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -82,3 +84,38 @@
 	require.NoError(t, err)
 	require.Equal(t, next.State.Zones, got.Zones)
 }
+
+// A zone order must outlast the replacement of the log by a snapshot and the replacement
+// of a voter: the new one gets the snapshot.
+func TestZoneOrderOutlastsCompactionAndVoter(t *testing.T) {
+	g := newRaftGroup(t)
+	g.start(3, 0)
+	const timeout, interval = 10 * time.Second, time.Millisecond
+	require.Eventually(t, func() bool { return g.propose(1) }, timeout, interval)
+	encoded, err := EncodeChange(intent.Change{Kind: intent.KindZone, Zone: &intent.ZoneOrder{Region: "r", Name: "z", Out: true, AfterOrders: new(uint64)}})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		leader := g.leader()
+		if leader == nil {
+			return false
+		}
+		result, err := leader.Propose(t.Context(), encoded)
+		return err == nil && result.Outcome == intent.Accepted
+	}, timeout, interval)
+	for version := uint64(2); version < 2+2*g.compactEntries; version++ {
+		require.Eventually(t, func() bool { return g.propose(version) }, timeout, interval)
+	}
+	g.startReplica(3)
+	g.disks[replicaName(0)].SetFull(true)
+	require.Eventually(t, func() bool {
+		g.propose(1000)
+		g.mu.Lock()
+		node := g.nodes[replicaName(3)]
+		g.mu.Unlock()
+		if node == nil {
+			return false
+		}
+		state := node.State()
+		return slices.Contains(state.Voters, state.Self) && state.SnapshotIndex > 0 && slices.Equal(state.State.ZonesOut(), []zone.ID{testZone()})
+	}, timeout, 10*time.Millisecond)
+}
