--- a/internal/soak/warm_up.go
+++ b/internal/soak/warm_up.go
@@ -10,7 +10,7 @@
 // second. The settings allow coldBound openings within any second.
 const (
 	coldTime  = 2 * time.Second
-	coldRate  = 8.0
+	coldRate  = 2.0
 	coldBound = int(coldRate*platformtest.WarmUpOvershoot) + platformtest.WarmUpSlack
 )
 
