bramleyctl explain placement: where a balancer would send an opening now

Operators asked for a command that explains where a request would go, and why, without sending it.

Change: a balancer on the users' platform serves GET /placement beside its metrics; the answer has the outcome and, for each upstream of the service, its score, what the balancer knows of it and how old that is, and the cause that excludes it. It is computed by the same functions as a placement (exclusionOf, expectedScore) and changes nothing.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -43,6 +43,15 @@
 				},
 				Action: a.controlAction(explainEvents),
 			},
+			{
+				Name: "placement", Usage: "show where a balancer would send an opening now, and why, without sending it",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "balancer", Usage: "ADDRESS:PORT of the metrics of a balancer"},
+					&cli.StringFlag{Name: "virtual", Usage: "virtual ADDRESS:PORT of the route"},
+					&cli.StringFlag{Name: "caller", Usage: "ADDRESS:PORT of the caller, for a route with several services"},
+				},
+				Action: a.localAction(explainPlacement),
+			},
 			{
 				Name: "logs", Usage: "find the decisions about one request in log files, and the likely cause of its failure",
 				Flags: []cli.Flag{
--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -129,6 +129,13 @@
 	return b.core.ReadyUpstreams() > 0 || time.Since(b.firstResponseAt) > firstUpstreamWait
 }
 
+// ExplainPlacement returns where an opening of a caller would go now, without sending it.
+func (b *Balancer) ExplainPlacement(virtual, caller netip.AddrPort) steering.PlacementExplanation {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.ExplainPlacement(time.Now(), virtual, caller)
+}
+
 func (b *Balancer) handleCallerPacket(now time.Time, packet *steering.Packet, data []byte, _ netip.Addr, out *[]steering.Action) {
 	b.lastPacketAt = now
 	b.core.HandlePacket(now, packet, data, out)
--- a/internal/steering/exclusion.go
+++ b/internal/steering/exclusion.go
@@ -26,6 +26,15 @@
 	excludedWarmingUp
 )
 
+// exclusionNames has the names of exclusions in explanations.
+var exclusionNames = [...]string{
+	excludedStatus: "status", excludedZone: "zone_out", excludedOverloaded: "overloaded", excludedAttempted: "attempted",
+	excludedAvoided: "avoided", excludedWarmingUp: "warming_up",
+}
+
+// String returns "" for an upstream that is not excluded.
+func (e exclusion) String() string { return exclusionNames[e] }
+
 // exclusionOf returns the first cause that applies to an upstream and an opening.
 func (b *Balancer) exclusionOf(now time.Time, upstream *upstreamState, entry *flowEntry) exclusion {
 	switch {
--- a/internal/steering/upstream_state.go
+++ b/internal/steering/upstream_state.go
@@ -59,9 +59,15 @@
 	return u.Status != view.Left && u.Status != view.Leaving && u.Status != view.Failed
 }
 
-// loadScore returns the expected load as a share of the slots. The upstream with the
-// lowest score is selected.
+// loadScore returns the expected score, randomized. The upstream with the lowest one is
+// selected.
 func (u *upstreamState) loadScore(now time.Time, b *Balancer) float64 {
+	return u.expectedScore(now, b) + b.cfg.Random.Float64()*scoreJitter
+}
+
+// expectedScore returns the expected load as a share of the slots, with a penalty for
+// another zone.
+func (u *upstreamState) expectedScore(now time.Time, b *Balancer) float64 {
 	slots := float64(max(u.Slots, 1))
 	load := float64(u.openingsSinceReport)
 	if age := now.Sub(u.reportedAt); age < loadReportLifetime {
@@ -71,7 +77,6 @@
 	if now.Before(u.WarmUpUntil) {
 		score = u.coldLoadScore(now, load, slots, b.warmUpRates[u.Service])
 	}
-	score += b.cfg.Random.Float64() * scoreJitter
 	if u.Zone != b.cfg.Zone {
 		score += otherZonePenalty
 	}
