--- a/internal/logsearch/explanations.go
+++ b/internal/logsearch/explanations.go
@@ -5,6 +5,7 @@
 var explanations = []struct{ event, reason, text string }{
 	{"reset", "overloaded", "refused: every upstream that was tried had all slots in use and could not respond within the objective; the request has not run"},
 	{"reset", "link_full", "refused: the network link of the entry VM had no capacity for another upload; the request has not run"},
+	{"reset", "all_warming_up", "refused: the upstreams that could take it are cold and have got as many openings as they bear; the request has not run"},
 	{"reset", "no_upstream", "refused: no upstream of the service accepts openings; the request has not run"},
 	{"reset", "no_route", "refused: the desired state has no route for the virtual address"},
 	{"reset", "no_desired_state", "refused: the balancer had just started and had not received a desired state; the request has not run"},
--- a/internal/logsearch/logsearch_test.go
+++ b/internal/logsearch/logsearch_test.go
@@ -53,6 +53,7 @@
 // each kind of failure that callers report.
 func TestCausePerFailure(t *testing.T) {
 	for name, testCase := range map[string]struct{ lines, wantPrefix string }{
+		"cold":    {logLine("01.0", "b", "forward", "placed", "1", "") + logLine("01.1", "b", "reset", "all_warming_up", "1", ""), "refused: the upstreams that could take it are cold"},
 		"refused": {logLine("01.0", "b", "forward", "placed", "1", "") + logLine("01.1", "b", "reset", "overloaded", "1", ""), "refused: every upstream"},
 		"reset":   {logLine("01.0", "b", "not_found", "", "1", "") + logLine("01.1", "b", "reset", "nobody_holds", "1", ""), "ended: the upstream that held"},
 		"late":    {logLine("01.0", "a", "rejected", "silent", "1", "") + logLine("01.1", "b", "forward", "placed_again", "1", ""), "late: an upstream did not respond"},
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -116,8 +116,12 @@
 // RecordOpening records an opening, or a copy of one, that is delivered to the upstream.
 func (l *Limiter) RecordOpening(now time.Time) { l.openings.add(now, boundSpan) }
 
-// RecordRequest records a further request on an open flow.
-func (l *Limiter) RecordRequest(now time.Time) { l.requests.add(now, rateSpan) }
+// RecordRequest records a further request on an open flow, if there is a bound.
+func (l *Limiter) RecordRequest(now time.Time) {
+	if _, bounded := l.Bound(now); bounded {
+		l.requests.add(now, rateSpan)
+	}
+}
 
 // Openings returns the number of openings in the second that ends now.
 func (l *Limiter) Openings(now time.Time) int { return l.openings.count(now, rateSpan) }
