steering: an agent that was suspended presumes that its upstream is cold

While an agent is suspended for seconds, its upstream may be replaced, and a check-in that waits in the socket may say that the previous process is warm: openings then reach a cold upstream without a limit until the next check-in.

--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -83,6 +83,8 @@
 	terms      Terms
 	termsKnown bool
 	warmUp     *warmup.Limiter
+	// lastCallAt is when the agent last handled a packet, a check-in or a Tick.
+	lastCallAt time.Time
 	// warmUpPeak is the highest number of openings within a second of the last warm-up.
 	// warmUpPeakEnded is set by openings after it.
 	warmUpPeak      int
@@ -107,6 +109,7 @@
 
 // HandleBalancerPacket handles a packet of a caller that a balancer has forwarded.
 func (a *Agent) HandleBalancerPacket(now time.Time, packet *Packet, header ForwardingHeader, balancer netip.Addr, data []byte, actions *[]Action) {
+	a.noteCall(now)
 	if !header.Service.matches(a.serviceTag) {
 		a.sendRejection(packet, balancer, OtherService, actions)
 		return
--- a/internal/steering/agent_check_in.go
+++ b/internal/steering/agent_check_in.go
@@ -52,6 +52,7 @@
 // reports another status under an earlier sequence number. Such a check-in is ignored
 // and must not be acknowledged.
 func (a *Agent) HandleCheckIn(now time.Time, checkIn CheckIn, actions *[]Action) (changed, accepted bool) {
+	a.noteCall(now)
 	previous := a.upstream
 	if a.checkedIn {
 		if checkIn.Incarnation < previous.Incarnation && !a.isSuccessor(now, &checkIn) {
--- a/internal/steering/agent_expiry.go
+++ b/internal/steering/agent_expiry.go
@@ -9,6 +9,7 @@
 // Tick rejects openings that the upstream has not answered in time, and removes
 // expired flows.
 func (a *Agent) Tick(now time.Time, actions *[]Action) {
+	a.noteCall(now)
 	for len(a.pendingOpenings) > 0 && now.Sub(a.pendingOpenings[0].deliveredAt) >= upstreamAnswerTimeout {
 		pending := a.pendingOpenings[0]
 		a.pendingOpenings = a.pendingOpenings[1:]
--- a/internal/steering/agent_upstream.go
+++ b/internal/steering/agent_upstream.go
@@ -6,6 +6,7 @@
 
 // HandleUpstreamPacket handles a packet that the upstream sent or returned.
 func (a *Agent) HandleUpstreamPacket(now time.Time, packet *Packet, data []byte, actions *[]Action) {
+	a.noteCall(now)
 	if packet.Flags.Has(Returned) {
 		a.handleReturnedPacket(now, packet, actions)
 		return
--- a/internal/steering/agent_warm_up.go
+++ b/internal/steering/agent_warm_up.go
@@ -12,6 +12,10 @@
 // none to a deployment that has nothing to tell.
 const rateUnknownWait = 2 * time.Second
 
+// suspensionGap is the time without a call after which the agent was suspended: it is
+// called at least every sweepInterval while it has flows, and for each check-in.
+const suspensionGap = 1500 * time.Millisecond
+
 // WarmUpStatus is the state of the warm-up of an upstream.
 type WarmUpStatus struct {
 	Phase warmup.Phase
@@ -59,6 +63,18 @@
 // example while its zone was out of service.
 func (a *Agent) presumeCold(now time.Time) { a.warmUp.Presume(now) }
 
+// noteCall detects that the process was suspended. Its upstream may have started again
+// meanwhile, and check-ins that wait in the receive buffer may be from before that.
+//
+// Load pattern: a VM or its agent is paused for seconds while upstreams are replaced, and
+// openings are in the receive buffers when it runs again.
+func (a *Agent) noteCall(now time.Time) {
+	if !a.lastCallAt.IsZero() && now.Sub(a.lastCallAt) >= suspensionGap {
+		a.presumeCold(now)
+	}
+	a.lastCallAt = now
+}
+
 // applyReportedWarmUp handles the remaining warm-up in a check-in. It reports whether the
 // upstream has become cold.
 //
--- a/internal/steering/warm_up_test.go
+++ b/internal/steering/warm_up_test.go
@@ -309,6 +309,30 @@
 	require.Equal(t, "warm", a.WarmUp(a.now).Phase.String())
 }
 
+// While an agent is suspended, its upstream may start again, and the check-ins that it
+// finds afterwards may be older than that.
+func TestSuspendedAgentPresumesColdUpstream(t *testing.T) {
+	a := newColdAgent(t)
+	for sequence := uint64(2); sequence < 8; sequence++ {
+		a.now = a.now.Add(time.Second)
+		a.checkIn(newCheckIn(7, sequence, view.Ready))
+	}
+	require.Equal(t, "warm", a.WarmUp(a.now).Phase.String())
+	a.now = a.now.Add(3 * time.Second)
+	a.checkIn(newCheckIn(7, 9, view.Ready))
+	require.Equal(t, "cold", a.WarmUp(a.now).Phase.String())
+	delivered := 0
+	for port := range uint16(100) {
+		if a.handleCallerPacket(openingPacket(port), asLastAttempt(ownHeader))[0].Kind == steering.Deliver {
+			delivered++
+		}
+	}
+	require.LessOrEqual(t, delivered, coldRate/4)
+	a.now = a.now.Add(1200 * time.Millisecond)
+	a.checkIn(newCheckIn(7, 10, view.Ready))
+	require.Equal(t, "warm", a.WarmUp(a.now).Phase.String())
+}
+
 // An opening that a cold upstream rejects must be sent to another one at once. If all are
 // cold and full, it must be refused: openings that wait would reach them together.
 func TestColdUpstreamsAreAvoided(t *testing.T) {
