--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -34,13 +34,13 @@
 			u.checkOpening(&platformtest.Packet{To: virtualAddresses[0]})
 		}, "DRAIN"},
 		"more openings than a cold upstream bears": {func(_ *deployment, u *upstream) {
-			u.startedAt = time.Now()
+			u.turnCold()
 			for range coldBound + 1 {
 				u.checkOpening(&platformtest.Packet{To: virtualAddresses[0]})
 			}
 		}, "COLD"},
 		"as many as it bears": {func(_ *deployment, u *upstream) {
-			u.startedAt = time.Now()
+			u.turnCold()
 			for range coldBound {
 				u.checkOpening(&platformtest.Packet{To: virtualAddresses[0]})
 			}
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -52,7 +52,9 @@
 	// leaveAcknowledgedAt is the time at which the agent first acknowledged a
 	// check-in that announces that the upstream is leaving.
 	leaveAcknowledgedAt time.Time
-	// coldOpenings has the times of the openings of the last second while it is cold.
+	// coldSince is when the upstream became cold, at its start or later. coldOpenings has
+	// the times of the openings of the last second while it is cold.
+	coldSince    time.Time
 	coldOpenings []time.Time
 	random       *rand.Rand
 }
@@ -69,6 +71,7 @@
 		deployment: d, agent: agent, id: id, service: agent.settings.Service, startedAt: time.Now(), conn: conn, listener: listener, cancel: cancel,
 		flows: map[flowKey]*upstreamFlow{}, random: rand.New(rand.NewPCG(d.options.Seed, uint64(len(id)))), //nolint:gosec // Choices must be reproducible; no secrecy is needed.
 	}
+	u.turnCold()
 	u.background.Add(3)
 	go u.receivePackets()
 	go u.acceptProbeConnections()
--- a/internal/soak/warm_up.go
+++ b/internal/soak/warm_up.go
@@ -14,15 +14,22 @@
 	coldBound = int(coldRate*platformtest.WarmUpOvershoot) + platformtest.WarmUpSlack
 )
 
-// remainingWarmUp returns how long the upstream stays cold.
+// turnCold makes the upstream cold.
+func (u *upstream) turnCold() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.coldSince, u.coldOpenings = time.Now(), nil
+}
+
+// remainingWarmUp returns how long the upstream stays cold. u.mu must be held.
 func (u *upstream) remainingWarmUp() time.Duration {
-	return max(0, time.Until(u.startedAt.Add(coldTime)))
+	return max(0, time.Until(u.coldSince.Add(coldTime)))
 }
 
 // checkColdOpening checks the openings that have arrived within the last second, with all
 // copies, while the upstream is cold.
 func (u *upstream) checkColdOpening(now time.Time) {
-	if now.Sub(u.startedAt) >= coldTime {
+	if now.Sub(u.coldSince) >= coldTime {
 		u.coldOpenings = nil
 		return
 	}
@@ -31,6 +38,6 @@
 		u.coldOpenings = u.coldOpenings[1:]
 	}
 	if len(u.coldOpenings) > coldBound {
-		u.deployment.recordBreach("COLD", "%d openings reached upstream %s within a second, %s after its start", len(u.coldOpenings), u.id, now.Sub(u.startedAt))
+		u.deployment.recordBreach("COLD", "%d openings reached upstream %s within a second, %s after it became cold", len(u.coldOpenings), u.id, now.Sub(u.coldSince))
 	}
 }
