--- a/internal/fabric/retransmission.go
+++ b/internal/fabric/retransmission.go
@@ -1,7 +1,6 @@
 package fabric
 
 import (
-	"bytes"
 	"encoding/binary"
 	"net"
 	"net/netip"
@@ -26,6 +25,9 @@
 	// maxPartsPerRequest bounds the parts that are sent again at once, so that they do not
 	// fill the receive buffer as the first transmission may have.
 	maxPartsPerRequest = 64
+	// partInTransit is the time after a part was sent in which a request for it is dropped:
+	// its receiver has not had the time to wait for it.
+	partInTransit = missingPartsDelay / 2
 	// messageNumberBytes is the size of the message number at the start of a request.
 	messageNumberBytes = 4
 	// maxRetainedBytes bounds the sent messages that are kept, where a payload that went to
@@ -51,9 +53,9 @@
 	number  uint32
 	payload []byte
 	sentAt  time.Time
-	// lastRequest is the last request for parts of the message, handled at lastRequestAt.
-	lastRequest   []byte
-	lastRequestAt time.Time
+	// resentAt has the time at which each part was last sent again. It is nil before the
+	// first request.
+	resentAt []time.Time
 }
 
 // retainedMessages holds the latest sent messages, oldest first.
@@ -111,19 +113,35 @@
 	return nil
 }
 
-// isRepeated records a request for parts of a message. It reports whether the same request
-// was handled less than missingPartsDelay before. The receiver has then repeated it because
-// this process was late to handle the first one, and the parts are on their way.
-func (r *retainedMessages) isRepeated(now time.Time, to netip.Addr, number uint32, request []byte) bool {
+// takePart reports whether a part of a message must be sent again now, and records that it
+// is. It is not if it was sent less than partInTransit before.
+//
+// Load pattern: the sender waits for its core while it sends hundreds of parts, or before it
+// handles a request. The receiver then requests parts that are about to be sent.
+func (r *retainedMessages) takePart(now time.Time, to netip.Addr, number uint32, index int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := r.findLocked(to, number)
-	if m == nil {
+	if m == nil || index >= partCount(m.payload) {
+		return false
+	}
+	if m.resentAt == nil {
+		m.resentAt = make([]time.Time, partCount(m.payload))
+	}
+	if now.Sub(m.sentAt) < partInTransit || now.Sub(m.resentAt[index]) < partInTransit {
 		return false
 	}
-	repeated := now.Sub(m.lastRequestAt) < missingPartsDelay && bytes.Equal(m.lastRequest, request)
-	m.lastRequest, m.lastRequestAt = append(m.lastRequest[:0], request...), now
-	return repeated
+	m.resentAt[index] = now
+	return true
+}
+
+// sent records that all parts of a message have been sent.
+func (r *retainedMessages) sent(now time.Time, to netip.Addr, number uint32) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.findLocked(to, number); m != nil {
+		m.sentAt = now
+	}
 }
 
 // completedKeys holds the keys of the messages that were received last.
@@ -286,7 +304,7 @@
 	}
 	number := binary.BigEndian.Uint32(request)
 	message, ok := t.retained.find(from, number)
-	if !ok || t.retained.isRepeated(time.Now(), from, number, request) {
+	if !ok {
 		return
 	}
 	count := partCount(message.payload)
@@ -297,6 +315,9 @@
 		if index >= count {
 			return
 		}
+		if !t.retained.takePart(time.Now(), from, number, index) {
+			continue
+		}
 		if err := t.sendPart(message.to, message.kind, message.number, index, count, partOf(message.payload, index)); err != nil {
 			return // The receiver requests the rest again.
 		}
--- a/internal/fabric/retransmission_test.go
+++ b/internal/fabric/retransmission_test.go
@@ -131,6 +131,7 @@
 	receiver := netip.MustParseAddr("127.77.3.5")
 	require.NoError(t, sender.send(receiver, 9, kindConsensus, testMessage{Text: strings.Repeat("x", 3*maxPartBytes)}))
 	number := sender.lastMessageNumber
+	sender.retained.sent(time.Now().Add(-time.Second), receiver, number)
 	request := func(from netip.Addr, number uint32, indexes ...byte) {
 		data := []byte{byte(number >> 24), byte(number >> 16), byte(number >> 8), byte(number)}
 		for _, index := range indexes {
@@ -147,17 +148,21 @@
 	require.Equal(t, 2, resent)
 }
 
-// Guards against parts that are sent twice because this process handled the first request
-// late and the receiver has repeated it: 1,310 of 1,250 parts were sent again.
-func TestRepeatedRequestsForPartsInARow(t *testing.T) {
+// Guards against parts that are sent twice because this process waited for its core while
+// it sent them, or before it handled the first request: 1,310 of 1,250 parts were sent again.
+func TestPartsInTransitAreNotSentAgain(t *testing.T) {
 	r := retainedMessages{}
 	now, to := time.Unix(0, 0), unknownSender.Addr()
-	r.add(sentMessage{to: netip.AddrPortFrom(to, 1), number: 1, payload: []byte{1}, sentAt: now})
-	require.False(t, r.isRepeated(now, to, 1, []byte{1, 2}))
-	require.True(t, r.isRepeated(now.Add(missingPartsDelay-1), to, 1, []byte{1, 2}))
-	require.False(t, r.isRepeated(now.Add(missingPartsDelay), to, 1, []byte{1, 3}), "other parts")
-	require.False(t, r.isRepeated(now.Add(2*missingPartsDelay), to, 1, []byte{1, 3}), "the parts were lost")
-	require.False(t, r.isRepeated(now, to, 2, []byte{1, 2}), "no such message")
+	r.add(sentMessage{to: netip.AddrPortFrom(to, 1), number: 1, payload: make([]byte, 2*maxPartBytes), sentAt: now.Add(-time.Second)})
+	r.sent(now, to, 1)
+	require.False(t, r.takePart(now.Add(partInTransit-1), to, 1, 0), "just sent")
+	now = now.Add(partInTransit)
+	require.True(t, r.takePart(now, to, 1, 0))
+	require.False(t, r.takePart(now.Add(partInTransit-1), to, 1, 0), "just sent again")
+	require.True(t, r.takePart(now.Add(partInTransit-1), to, 1, 1), "another part")
+	require.True(t, r.takePart(now.Add(partInTransit), to, 1, 0), "lost again")
+	require.False(t, r.takePart(now, to, 1, 2), "no such part")
+	require.False(t, r.takePart(now, to, 2, 0), "no such message")
 }
 
 // Guards against a control process that keeps a large desired state once for each balancer
--- a/internal/fabric/transport.go
+++ b/internal/fabric/transport.go
@@ -134,6 +134,9 @@
 			return fmt.Errorf("send message: %w", err)
 		}
 	}
+	if count > 1 && isResentByPart(kind) {
+		t.retained.sent(time.Now(), to.Addr(), number)
+	}
 	return nil
 }
 
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -88,10 +88,10 @@
 	terms       Terms
 	termsKnown  bool
 	unconfirmed unconfirmedTerms
-	// awaitTermsUntil is set after a suspension. lastActivityAt is when the agent last
-	// handled a packet or a Tick.
-	awaitTermsUntil, lastActivityAt time.Time
-	warmUp                          *warmup.Limiter
+	// awaitTermsUntil is set after a suspension. lastCallAt is when the agent last handled a
+	// packet, a check-in or a Tick.
+	awaitTermsUntil, lastCallAt time.Time
+	warmUp                      *warmup.Limiter
 	// warmUpPeak is the highest number of openings within a second of the last warm-up.
 	// warmUpPeakEnded is set by openings after it.
 	warmUpPeak      int
@@ -116,7 +116,7 @@
 
 // HandleBalancerPacket handles a packet of a caller that a balancer has forwarded.
 func (a *Agent) HandleBalancerPacket(now time.Time, packet *Packet, header ForwardingHeader, balancer netip.Addr, data []byte, actions *[]Action) {
-	a.noteActivity(now)
+	a.noteCall(now)
 	if !header.Service.matches(a.serviceTag) {
 		a.sendRejection(packet, balancer, OtherService, actions)
 		return
--- a/internal/steering/agent_zone.go
+++ b/internal/steering/agent_zone.go
@@ -5,11 +5,6 @@
 	"time"
 )
 
-// suspensionDivisor is the fraction of ZoneOrderBound for which an agent may have been
-// suspended without awaiting terms again. The terms that are sent after that arrive within
-// the rest of it. An agent that runs is called at least every sync interval.
-const suspensionDivisor = 2
-
 // unconfirmedTerms collects the terms of control processes that know no leader, until a
 // majority of the voters has sent theirs. Every acknowledged order is among the latest of
 // these, unless its commit was not recorded before the processes stopped; the next leader
@@ -62,18 +57,6 @@
 	return true
 }
 
-// noteActivity detects that the process was suspended. It may then have missed orders, and
-// awaits terms again. It is called for each packet and each Tick.
-//
-// Load pattern: a VM is paused for some seconds, its zone is taken out of service, and
-// openings are in the receive buffers of its agent when it runs again.
-func (a *Agent) noteActivity(now time.Time) {
-	if a.cfg.ZoneOrderBound > 0 && !a.lastActivityAt.IsZero() && now.Sub(a.lastActivityAt) > a.cfg.ZoneOrderBound/suspensionDivisor {
-		a.awaitTermsUntil = now.Add(a.cfg.ZoneOrderBound)
-	}
-	a.lastActivityAt = now
-}
-
 // AwaitsTerms reports whether the agent rejects openings until it has received terms: it
 // has none, or was suspended since it received them.
 func (a *Agent) AwaitsTerms(now time.Time) bool {
--- a/internal/steering/zone_test.go
+++ b/internal/steering/zone_test.go
@@ -52,6 +52,10 @@
 	require.Zero(t, verdict(a, 2))
 
 	a = newAgent()
+	for a.now = start; a.now.Before(start.Add(bound - time.Second)); a.now = a.now.Add(time.Second) {
+		a.Tick(a.now, &a.actions) // A gap would look like a suspension.
+	}
+	a.takeActions()
 	a.now = start.Add(bound - 1)
 	require.Equal(t, steering.ZoneUndetermined, verdict(a, 1))
 	a.now = start.Add(bound)
