capacity, steering: what each upstream takes well is learned

Callers saw late answers and failures because openings went by the share of slots to upstreams that were slow, or that failed while their health endpoint was fine. A balancer knew slots and a load at most 300 ms old, nothing of speed.

internal/capacity learns at the agent, per upstream and class, the time of the answer, the share of bad ends and a limit of concurrency. Agents state the expected answer and the health in Message.Flows, marked by its highest bit, and balancers place openings by the expected answer relative to the median of the service.

--- a/cmd/platform-agent/main.go
+++ b/cmd/platform-agent/main.go
@@ -10,7 +10,7 @@
 )
 
 func main() {
-	platform.Main("platform-agent", "passes the packets of one upstream on", newService)
+	platform.Main("platform-agent", "passes the packets of one upstream on", newService, platform.LearnedCapacityFlag())
 }
 
 func newService(ctx context.Context, p platform.Process) (platform.Service, error) {
--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -41,6 +41,10 @@
 	// actionCounters counts actions by kind and reason.
 	actionCounters actionCounters
 	stopping       bool
+	// loggedLimit is the learned limit in the last log line about it, written at
+	// limitLoggedAt.
+	loggedLimit   int
+	limitLoggedAt time.Time
 }
 
 // NewAgent opens the sockets of an agent. Run processes packets.
@@ -66,6 +70,7 @@
 		requests, flows := a.core.Load()
 		a.setGauge("flows", flows)
 		a.setGauge("requests", requests)
+		a.publishCapacity(now)
 	}
 	shared.nextDeadline = a.core.Deadline
 	a.execute = a.executeAction
@@ -84,6 +89,7 @@
 	}
 	return steering.AgentConfig{
 		Service: cfg.Service, CheckInInterval: cfg.CheckInInterval, IdleTimeout: maxFlowAge, MaxFlows: cfg.maxFlows(), StartedAt: startedAt,
+		LearnsCapacity: cfg.LearnsCapacity,
 	}
 }
 
@@ -270,7 +276,7 @@
 		switch action.Message.Kind {
 		case steering.LookupResponse:
 			// recordLookupVerdicts writes an entry for each flow.
-		case steering.OpeningAccepted:
+		case steering.OpeningAccepted, steering.CapacityReport:
 			a.Decisions.LogRateLimited(entry)
 		default:
 			a.Decisions.LogAlways(entry)
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bramleyhold.example/bramleyhold/internal/flow"
+	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/service"
 )
 
@@ -35,6 +36,8 @@
 	MaxFlows int
 	// StartedAt is when this process began to receive the packets of its upstream.
 	StartedAt time.Time
+	// LearnsCapacity is set if the agent learns how many requests its upstream takes well.
+	LearnsCapacity bool
 }
 
 // Agent steers packets for the process beside one upstream.
@@ -72,7 +75,9 @@
 	// stageCounts is the number of flows in each request stage.
 	stageCounts [stageCount]int
 	serviceTime serviceTimeEstimator
-	nextSweep   time.Time
+	// learner is nil unless the agent learns the capacity of its upstream.
+	learner   *capacityLearner
+	nextSweep time.Time
 }
 
 // NewAgent returns an agent that has received no check-in.
@@ -80,7 +85,7 @@
 	if cfg.CheckInInterval == 0 {
 		cfg.CheckInInterval = defaultCheckInInterval
 	}
-	return &Agent{cfg: cfg, serviceTag: NewServiceTag(cfg.Service), flows: map[flow.Key]*heldFlow{}, unconfirmedFlows: map[flow.Key]unconfirmedFlow{}, returnedFlows: map[flow.Key]time.Time{}}
+	return &Agent{cfg: cfg, serviceTag: NewServiceTag(cfg.Service), flows: map[flow.Key]*heldFlow{}, unconfirmedFlows: map[flow.Key]unconfirmedFlow{}, returnedFlows: map[flow.Key]time.Time{}, learner: newCapacityLearner(&cfg)}
 }
 
 // Upstream returns the last check-in and whether there was one.
@@ -92,13 +97,14 @@
 // HandleBalancerPacket handles a packet of a caller that a balancer has forwarded.
 func (a *Agent) HandleBalancerPacket(now time.Time, packet *Packet, header ForwardingHeader, balancer netip.Addr, data []byte, actions *[]Action) {
 	if !header.Service.matches(a.serviceTag) {
-		a.sendRejection(packet, balancer, OtherService, actions)
+		a.sendRejection(now, packet, balancer, OtherService, actions)
 		return
 	}
+	a.learner.notePacket(now, balancer)
 	held := a.flows[packet.Flow]
 	if held != nil && held.upstreamExited && !packet.IsOpening() {
 		if !held.matchesAck(packet.Ack) {
-			a.sendMessage(balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
+			a.sendMessage(now, balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
 			return
 		}
 		a.resetFlow(packet, held, actions)
@@ -115,18 +121,18 @@
 	if !held.established {
 		if !packet.Flags.Has(ACK) || !held.accepted || packet.Ack-held.answerSequence > ackWindow {
 			// The caller uses the SYN-ACK of another upstream.
-			a.sendMessage(balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
+			a.sendMessage(now, balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
 			return
 		}
 		held.established = true
 	}
 	held.balancer, held.lastPacketAt = balancer, now
-	a.trackCallerPacket(now, held, packet)
+	a.trackCallerPacket(now, held, packet, header.Class)
 	*actions = append(*actions, Action{Kind: Deliver, Reason: KnownFlow, Flow: packet.Flow, Data: data})
 }
 
 // trackCallerPacket updates the state of a flow after a packet of the caller.
-func (a *Agent) trackCallerPacket(now time.Time, held *heldFlow, packet *Packet) {
+func (a *Agent) trackCallerPacket(now time.Time, held *heldFlow, packet *Packet, class intent.Class) {
 	held.callerAck = packet.Ack
 	switch {
 	case packet.Flags.Has(RST):
@@ -135,6 +141,9 @@
 	case packet.Payload > 0 && held.stage != stageInProgress:
 		held.requestStartedAt, held.measureServiceTime = now, a.stageCounts[stageInProgress] < a.upstream.Slots
 		a.setStage(held, stageInProgress)
+		a.learner.beginRequest(now, held, class)
+	case packet.Payload > 0:
+		a.learner.continueRequest(now, held)
 	}
 	if packet.Flags.Has(FIN) {
 		held.callerFinished = true
@@ -142,7 +151,7 @@
 }
 
 // sendMessage sends a message with the current load of the upstream.
-func (a *Agent) sendMessage(to netip.Addr, message Message, reason Reason, actions *[]Action) {
-	message.Load, message.Flows = uint16(min(a.requestsInProgress(), 1<<16-1)), uint16(min(len(a.flows), 1<<16-1))
+func (a *Agent) sendMessage(now time.Time, to netip.Addr, message Message, reason Reason, actions *[]Action) {
+	message.Load, message.Flows = uint16(min(a.requestsInProgress(), 1<<16-1)), a.reportedFlows(now)
 	*actions = append(*actions, Action{Kind: SendMessage, Reason: reason, Flow: message.Flow, To: to, Message: message})
 }
--- a/internal/steering/agent_check_in.go
+++ b/internal/steering/agent_check_in.go
@@ -73,6 +73,7 @@
 		if a.checkedIn {
 			a.flowsForgottenUntil = time.Time{}
 			a.endFlowsExcept(now, checkIn.Incarnation, true, actions)
+			a.learner.restart()
 		}
 	}
 	if !a.checkedIn {
@@ -81,6 +82,7 @@
 		}
 	}
 	a.upstream, a.checkedIn = checkIn, true
+	a.learner.setSlots(checkIn.Slots)
 	return changed, true
 }
 
--- a/internal/steering/agent_expiry.go
+++ b/internal/steering/agent_expiry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bramleyhold.example/bramleyhold/internal/capacity"
 	"bramleyhold.example/bramleyhold/internal/flow"
 )
 
@@ -14,6 +15,7 @@
 		a.pendingOpenings = a.pendingOpenings[1:]
 		a.rejectUnanswered(now, pending, actions)
 	}
+	a.reportCapacity(now, actions)
 	if !a.nextSweep.IsZero() && !now.Before(a.nextSweep) {
 		a.removeExpired(now)
 	}
@@ -29,7 +31,7 @@
 	a.probeUpstream(now, pending.key, actions)
 	balancer := held.balancer
 	a.removeFlow(pending.key, held)
-	a.sendMessage(balancer, Message{Kind: OpeningRejected, Verdict: NoResponse, Flow: pending.key, Sequence: pending.sequence}, UpstreamFailed, actions)
+	a.sendMessage(now, balancer, Message{Kind: OpeningRejected, Verdict: NoResponse, Flow: pending.key, Sequence: pending.sequence}, UpstreamFailed, actions)
 }
 
 // probeUpstream requests a check that the process of the upstream exists, at most
@@ -72,6 +74,7 @@
 	for _, held := range a.flows {
 		idle := now.Sub(held.lastPacketAt)
 		if (held.stage == stageInProgress && idle > max(abandonedRequestTimeout, held.timeBudget)) || (held.stage == stageAwaitingRequest && idle > firstRequestTimeout) {
+			a.learner.endRequest(now, held, capacity.Silent)
 			a.setStage(held, stageIdle)
 		}
 	}
@@ -103,6 +106,7 @@
 }
 
 func (a *Agent) removeFlow(key flow.Key, held *heldFlow) {
+	a.learner.forgetRequest(held)
 	a.stageCounts[held.stage]--
 	delete(a.flows, key)
 }
--- a/internal/steering/agent_failure.go
+++ b/internal/steering/agent_failure.go
@@ -55,7 +55,7 @@
 			// The caller may use the SYN-ACK of another upstream.
 			a.removeFlow(key, held)
 			if !held.accepted {
-				a.sendMessage(held.balancer, Message{Kind: OpeningRejected, Verdict: NoResponse, Flow: key, Sequence: held.openingSequence}, UpstreamFailed, actions)
+				a.sendMessage(now, held.balancer, Message{Kind: OpeningRejected, Verdict: NoResponse, Flow: key, Sequence: held.openingSequence}, UpstreamFailed, actions)
 			}
 			continue
 		}
--- a/internal/steering/agent_lookup.go
+++ b/internal/steering/agent_lookup.go
@@ -32,7 +32,7 @@
 // flow, deliverUnconfirmed reports FlowNotFound instead.
 func (a *Agent) deliverUnconfirmed(now time.Time, packet *Packet, balancer netip.Addr, data []byte, actions *[]Action) {
 	if a.definitelyNotHeld(now, packet.Flow) {
-		a.sendMessage(balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
+		a.sendMessage(now, balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
 		return
 	}
 	a.unconfirmedFlows[packet.Flow] = unconfirmedFlow{balancer: balancer, expiresAt: now.Add(unconfirmedFlowLifetime)}
@@ -69,7 +69,7 @@
 	for i := range message.Lookups {
 		response.Verdicts = append(response.Verdicts, a.lookupVerdict(now, from, &message.Lookups[i]))
 	}
-	a.sendMessage(from, response, KnownFlow, actions)
+	a.sendMessage(now, from, response, KnownFlow, actions)
 }
 
 // lookupVerdict returns the verdict on whether the upstream holds a flow.
--- a/internal/steering/agent_opening.go
+++ b/internal/steering/agent_opening.go
@@ -43,7 +43,7 @@
 		a.dropAbandonedRequests(now)
 	}
 	if verdict := a.rejectionVerdict(now, header); verdict != 0 {
-		a.sendRejection(packet, balancer, verdict, actions)
+		a.sendRejection(now, packet, balancer, verdict, actions)
 		return
 	}
 	if held != nil {
@@ -70,16 +70,17 @@
 	case now.Before(a.rejectOpeningsUntil) && !header.LastAttempt:
 		return NoResponse
 	}
-	return a.admissionVerdict(header)
+	return a.admissionVerdict(now, header)
 }
 
 // admissionVerdict returns the cause for which the load of the upstream does not allow
 // an opening, or 0.
-func (a *Agent) admissionVerdict(header ForwardingHeader) Verdict {
+func (a *Agent) admissionVerdict(now time.Time, header ForwardingHeader) Verdict {
+	limit := a.concurrencyLimit(now)
 	switch {
-	case !header.LastAttempt && a.requestsInProgress() >= a.upstream.Slots:
+	case !header.LastAttempt && a.requestsInProgress() >= limit:
 		return Busy
-	case !a.serviceTime.admits(a.requestsInProgress(), a.upstream.Slots, header.TimeBudget):
+	case !a.serviceTime.admits(a.requestsInProgress(), limit, header.TimeBudget):
 		return Overloaded
 	}
 	return 0
@@ -87,10 +88,10 @@
 
 // sendRejection rejects an opening with the given verdict, or reports another packet
 // as FlowNotFound.
-func (a *Agent) sendRejection(packet *Packet, balancer netip.Addr, verdict Verdict, actions *[]Action) {
+func (a *Agent) sendRejection(now time.Time, packet *Packet, balancer netip.Addr, verdict Verdict, actions *[]Action) {
 	if packet.IsOpening() {
-		a.sendMessage(balancer, Message{Kind: OpeningRejected, Verdict: verdict, Flow: packet.Flow, Sequence: packet.Sequence}, NotReady, actions)
+		a.sendMessage(now, balancer, Message{Kind: OpeningRejected, Verdict: verdict, Flow: packet.Flow, Sequence: packet.Sequence}, NotReady, actions)
 		return
 	}
-	a.sendMessage(balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, WrongService, actions)
+	a.sendMessage(now, balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, WrongService, actions)
 }
--- a/internal/steering/agent_upstream.go
+++ b/internal/steering/agent_upstream.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"bramleyhold.example/bramleyhold/internal/capacity"
 )
 
 // HandleUpstreamPacket handles a packet that the upstream sent or returned.
@@ -36,7 +38,7 @@
 	a.scheduleSweep(now)
 	if wasUnconfirmed {
 		held.balancer = unconfirmed.balancer
-		a.sendMessage(unconfirmed.balancer, Message{Kind: FlowConfirmed, Flow: packet.Flow}, KnownFlow, actions)
+		a.sendMessage(now, unconfirmed.balancer, Message{Kind: FlowConfirmed, Flow: packet.Flow}, KnownFlow, actions)
 	}
 	return held
 }
@@ -47,18 +49,28 @@
 	a.rejectOpeningsUntil = time.Time{}
 	if packet.Flags.Has(SYN|ACK) && !held.accepted {
 		held.accepted, held.answerSequence = true, packet.Sequence
-		a.sendMessage(held.balancer, Message{Kind: OpeningAccepted, Flow: packet.Flow, Sequence: packet.Sequence}, UpstreamReplied, actions)
+		a.sendMessage(now, held.balancer, Message{Kind: OpeningAccepted, Flow: packet.Flow, Sequence: packet.Sequence}, UpstreamReplied, actions)
 	}
 	if packet.Payload > 0 && held.stage == stageInProgress && held.measureServiceTime {
 		a.serviceTime.addSample(now.Sub(held.requestStartedAt))
 	}
 	if packet.Payload > 0 || packet.Flags&(FIN|RST) != 0 {
 		held.measureServiceTime = false
+		a.learner.endRequest(now, held, requestOutcome(packet))
 		a.setStage(held, stageIdle)
 	}
 	if packet.Flags.Has(RST) || (packet.Flags.Has(FIN) && held.callerFinished) {
 		held.finished = true
 	}
+	a.reportCapacity(now, actions)
+}
+
+// requestOutcome returns how a request ended with the given packet of the upstream.
+func requestOutcome(packet *Packet) capacity.Outcome {
+	if packet.Payload == 0 {
+		return capacity.Failed
+	}
+	return capacity.Answered
 }
 
 // handleReturnedPacket handles a packet that the upstream has returned because it
@@ -72,7 +84,7 @@
 		}
 		balancer := held.balancer
 		a.removeFlow(packet.Flow, held)
-		a.sendRejection(packet, balancer, Refused, actions)
+		a.sendRejection(now, packet, balancer, Refused, actions)
 		a.probeUpstream(now, packet.Flow, actions)
 		return
 	}
@@ -85,7 +97,7 @@
 			return
 		}
 		held.returnedByUpstream = true
-		a.sendMessage(held.balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
+		a.sendMessage(now, held.balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
 		return
 	}
 	if len(a.returnedFlows) < maxReturnedFlows {
@@ -97,5 +109,5 @@
 		return
 	}
 	delete(a.unconfirmedFlows, packet.Flow)
-	a.sendMessage(unconfirmed.balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
+	a.sendMessage(now, unconfirmed.balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
 }
--- /dev/null
+++ b/internal/steering/answer_score.go
@@ -0,0 +1,146 @@
+package steering
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"bramleyhold.example/bramleyhold/internal/service"
+)
+
+const (
+	// minComparedUpstreams is the number of upstreams with a known expectation from which
+	// openings are placed by expected answers. The median of fewer says little.
+	minComparedUpstreams = 3
+	// comparisonInterval is how often the upstreams of a service are compared anew.
+	comparisonInterval = 50 * time.Millisecond
+	// expectationLifetime is the time after which a deviation from the other upstreams
+	// counts for 1/e only. Agents report large changes at once.
+	expectationLifetime = 10 * time.Second
+	// healthTolerance is the share of the median health from which an upstream counts as
+	// well. healthExponent is how strongly a worse one is avoided. One that fails 40 % of
+	// its requests gets hardly any opening by its score.
+	healthTolerance = 0.9
+	healthExponent  = 8.0
+	// fastestFactor and slowestFactor bound the deviation of one upstream from the median
+	// of its service.
+	fastestFactor = 1.0 / 3
+	slowestFactor = 10.0
+	// fullLoadFactor is the weight of the load of an upstream whose slots appear to be in
+	// use. It rejects an opening unless it is the last attempt.
+	fullLoadFactor = 2.0
+	// choiceSpread randomizes the choice: the number of openings that an upstream gets
+	// goes with the power -1/choiceSpread of its expected answer.
+	choiceSpread = 0.33
+	// probeShare is the share of the openings whose first attempt goes to any upstream
+	// whatever its score. By these the recovery of an avoided one shows.
+	probeShare = 0.04
+	// avoidedFactor is the multiple of the median from which an upstream is avoided.
+	avoidedFactor = 1.5
+)
+
+// answerComparison compares the expected answers of the upstreams of one service.
+type answerComparison struct {
+	comparedAt time.Time
+	// usable is set if openings are placed by expected answers. medianLog is the median
+	// of the logarithms of the expected answers, medianHealth that of the health.
+	usable                  bool
+	medianLog, medianHealth float64
+	// anyAvoided is set if some upstream gets hardly any opening by its score.
+	anyAvoided bool
+	// probes is set if the present attempt goes to any upstream.
+	probes bool
+}
+
+// compareAnswers returns the comparison of the upstreams of a service. Those of the own
+// zone are compared if enough of them have reported, because a common cause, such as a
+// slow dependency in the zone, must exclude none of them.
+//
+// An upstream that has not reported yet counts like the median. If an agent has reported
+// without having learned, because it is of an earlier build or learning is switched off,
+// all are placed by the share of their slots.
+func (b *Balancer) compareAnswers(now time.Time, name service.Name) *answerComparison {
+	comparison := b.answerComparisons[name]
+	if comparison == nil {
+		comparison = &answerComparison{}
+		b.answerComparisons[name] = comparison
+	}
+	if age := now.Sub(comparison.comparedAt); age >= 0 && age < comparisonInterval {
+		return comparison
+	}
+	*comparison = answerComparison{comparedAt: now}
+	var all, own, allHealth, ownHealth []float64
+	for _, upstream := range b.serviceMembers[name] {
+		if upstream.reportedAt.IsZero() || !upstream.AcceptsOpenings() {
+			continue
+		}
+		if !upstream.expectation.learned {
+			return comparison
+		}
+		if upstream.expectation.answer == 0 {
+			continue
+		}
+		answerLog := math.Log(upstream.expectation.answer.Seconds())
+		all, allHealth = append(all, answerLog), append(allHealth, upstream.expectation.health)
+		if upstream.Zone == b.cfg.Zone {
+			own, ownHealth = append(own, answerLog), append(ownHealth, upstream.expectation.health)
+		}
+	}
+	if len(own) >= minComparedUpstreams {
+		all, allHealth = own, ownHealth
+	}
+	if len(all) < minComparedUpstreams {
+		return comparison
+	}
+	slices.Sort(all)
+	slices.Sort(allHealth)
+	comparison.usable, comparison.medianLog, comparison.medianHealth = true, all[len(all)/2], allHealth[len(allHealth)/2]
+	for _, upstream := range b.serviceMembers[name] {
+		comparison.anyAvoided = comparison.anyAvoided || upstream.relativeAnswer(now, comparison) > avoidedFactor
+	}
+	return comparison
+}
+
+// placementScore returns the score of an upstream for the next opening. The upstream with
+// the lowest score is selected. Scores of one comparison can be compared.
+func (b *Balancer) placementScore(now time.Time, upstream *upstreamState, comparison *answerComparison) float64 {
+	if !comparison.usable {
+		return upstream.loadScore(now, b)
+	}
+	if comparison.probes {
+		return b.cfg.Random.Float64()
+	}
+	return upstream.answerScore(now, b, comparison)
+}
+
+// answerScore returns the expected time of the answer as a multiple of the median of the
+// service, randomized.
+//
+// Load pattern: many balancers place at once, each an opening a second or less on each
+// upstream, and know the speed of the upstreams but hardly their present load. If each
+// took the fastest one, all would.
+func (u *upstreamState) answerScore(now time.Time, b *Balancer, comparison *answerComparison) float64 {
+	load := u.expectedLoad(now) / float64(max(u.Slots, 1))
+	if u.Zone != b.cfg.Zone {
+		load += otherZonePenalty
+	}
+	if u.expectedLoad(now) >= float64(u.Slots) {
+		load *= fullLoadFactor
+	}
+	spread := -math.Log(max(b.cfg.Random.Float64(), math.SmallestNonzeroFloat64))
+	return u.relativeAnswer(now, comparison) * (1 + load) * math.Pow(spread, choiceSpread)
+}
+
+// relativeAnswer returns the expected answer of an idle upstream as a multiple of the
+// median of the service, longer if it fails more requests than the others.
+func (u *upstreamState) relativeAnswer(now time.Time, comparison *answerComparison) float64 {
+	if u.expectation.answer == 0 {
+		return 1
+	}
+	deviation := math.Log(u.expectation.answer.Seconds()) - comparison.medianLog
+	if wanted := healthTolerance * comparison.medianHealth; u.expectation.health < wanted {
+		deviation += healthExponent * math.Log(wanted/max(u.expectation.health, 1.0/maxHealthCode))
+	}
+	deviation = min(max(deviation, math.Log(fastestFactor)), math.Log(slowestFactor))
+	return math.Exp(deviation * math.Exp(-float64(now.Sub(u.expectedAt))/float64(expectationLifetime)))
+}
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -77,6 +77,8 @@
 	lastLookupID  uint32
 	nextBatchAt   time.Time
 	lookupLimiter *rate.Limiter
+	// answerComparisons has the last comparison of the upstreams of each service.
+	answerComparisons map[service.Name]*answerComparison
 	// directoryComplete is set once the directory has listed all upstreams.
 	directoryComplete bool
 }
@@ -86,6 +88,7 @@
 	return &Balancer{
 		cfg: cfg, egress: newEgressScheduler(cfg.LinkBitsPerSecond), uploads: newUploadAdmission(), lookupLimiter: rate.NewLimiter(0, 0), lookupBatches: map[uint32]*lookupBatch{}, routes: map[netip.AddrPort]*intent.Route{}, removedRoutes: map[netip.AddrPort]bool{},
 		upstreams: map[netip.Addr]*upstreamState{}, serviceMembers: map[service.Name][]*upstreamState{}, flows: map[flow.Key]*flowEntry{},
+		answerComparisons: map[service.Name]*answerComparison{},
 	}
 }
 
@@ -285,6 +288,6 @@
 		b.handleFlowNotFound(now, entry, upstream, message, actions)
 	case FlowConfirmed:
 		b.handleHolderFound(now, entry, upstream, actions)
-	case LookupRequest, LookupResponse:
+	case LookupRequest, LookupResponse, CapacityReport:
 	}
 }
--- a/internal/steering/held_flow.go
+++ b/internal/steering/held_flow.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"bramleyhold.example/bramleyhold/internal/capacity"
 	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
@@ -55,12 +56,17 @@
 	// returnedByUpstream is set if the upstream has returned a packet of the flow.
 	returnedByUpstream bool
 	finished           bool
-	openedAt           time.Time
-	lastPacketAt       time.Time
+	// capacityToken identifies the request in progress where capacity is learned.
+	capacityToken capacity.Token
+	openedAt      time.Time
+	lastPacketAt  time.Time
 }
 
 // setStage changes the request stage of a flow and the counts of both stages.
 func (a *Agent) setStage(held *heldFlow, next requestStage) {
+	if next != stageInProgress {
+		a.learner.forgetRequest(held)
+	}
 	a.stageCounts[held.stage]--
 	a.stageCounts[next]++
 	held.stage = next
--- a/internal/steering/message.go
+++ b/internal/steering/message.go
@@ -27,12 +27,16 @@
 	// FlowConfirmed: the upstream has sent a packet of a flow that was unknown to its
 	// agent, so the upstream holds the flow.
 	FlowConfirmed
+	// CapacityReport: what the agent has learned about its upstream has changed. It
+	// concerns no flow.
+	CapacityReport
 )
 
 // messageNames has the names of messages in log lines and metrics. The strings are
 // fixed; they stay when a Go name changes.
 var messageNames = [...]string{
 	OpeningAccepted: "accepted", OpeningRejected: "rejected", FlowNotFound: "not_found", LookupRequest: "locate", LookupResponse: "located", FlowConfirmed: "holding",
+	CapacityReport: "capacity",
 }
 
 func (k MessageKind) String() string {
@@ -104,7 +108,7 @@
 	// Ack is the acknowledgement number of the packet in FlowNotFound.
 	Ack uint32
 	// Load is the number of requests in progress at the upstream. Flows is the number
-	// of flows in the table of its agent.
+	// of flows in the table of its agent, or what it has learned; see decodeExpectation.
 	Load  uint16
 	Flows uint16
 	// LookupID is unique among the lookup requests of a balancer. A response has the ID
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -130,8 +130,10 @@
 	AgentUndetermined   Reason = "agent_unsure"
 	WrongService        Reason = "wrong_service"
 	UpstreamReplied     Reason = "upstream_replied"
-	NoHolder            Reason = "nobody_holds"
-	UpstreamFailed      Reason = "upstream_lost"
+	// CapacityChanged: a capacity report is sent.
+	CapacityChanged Reason = "capacity_changed"
+	NoHolder        Reason = "nobody_holds"
+	UpstreamFailed  Reason = "upstream_lost"
 	// NotOurs is the reason of no action at present.
 	NotOurs Reason = "not_ours"
 )
--- a/internal/steering/placement.go
+++ b/internal/steering/placement.go
@@ -54,7 +54,9 @@
 	// another is any upstream other than best that may get the opening.
 	var another *upstreamState
 	bestScore := 0.0
-	members := b.serviceMembers[b.selectService(entry, route)]
+	name := b.selectService(entry, route)
+	members, comparison := b.serviceMembers[name], b.compareAnswers(now, name)
+	comparison.probes = comparison.usable && comparison.anyAvoided && len(entry.attemptedAgents) == 0 && b.cfg.Random.Float64() < probeShare
 	anyAvoided, anyOverloaded := false, false
 	for _, upstream := range members {
 		if excluded := b.exclusionOf(now, upstream, entry); excluded != notExcluded {
@@ -62,7 +64,7 @@
 			anyAvoided = anyAvoided || excluded == excludedAvoided
 			continue
 		}
-		score := upstream.loadScore(now, b)
+		score := b.placementScore(now, upstream, comparison)
 		if best == nil || score < bestScore {
 			best, another, bestScore = upstream, best, score
 		} else {
--- a/internal/steering/upstream_state.go
+++ b/internal/steering/upstream_state.go
@@ -34,10 +34,15 @@
 type upstreamState struct {
 	Upstream
 	serviceTag ServiceTag
-	// requestsInProgress and openFlows come from the last message of the agent,
-	// received at reportedAt.
-	requestsInProgress, openFlows int
-	reportedAt                    time.Time
+	// requestsInProgress comes from the last message of the agent, received at
+	// reportedAt.
+	requestsInProgress int
+	reportedAt         time.Time
+	// expectation is the last one that states an expected answer, or the last one if none
+	// does. It was received at expectedAt. An agent that has restarted states none at
+	// first; the one before its restart then holds on.
+	expectation answerExpectation
+	expectedAt  time.Time
 	// openingsSinceReport counts the openings sent to it since that message.
 	openingsSinceReport int
 	// avoidUntil is set after it has rejected an opening or not responded to one.
@@ -50,13 +55,25 @@
 
 // updateReport stores the load report that every message of an agent has.
 func (u *upstreamState) updateReport(now time.Time, message *Message) {
-	u.requestsInProgress, u.openFlows, u.reportedAt, u.openingsSinceReport, u.lookupUnresponsiveUntil = int(message.Load), int(message.Flows), now, 0, time.Time{}
+	u.requestsInProgress, u.reportedAt, u.openingsSinceReport, u.lookupUnresponsiveUntil = int(message.Load), now, 0, time.Time{}
+	expectation := decodeExpectation(message.Flows)
+	if expectation.answer > 0 || !expectation.learned || !u.expectation.learned {
+		u.expectation, u.expectedAt = expectation, now
+	}
 }
 
 // loadScore returns the expected load as a share of the slots. The upstream with the
 // lowest score is selected.
 func (u *upstreamState) loadScore(now time.Time, b *Balancer) float64 {
-	slots := float64(max(u.Slots, 1))
+	score := u.expectedLoad(now)/float64(max(u.Slots, 1)) + b.cfg.Random.Float64()*scoreJitter
+	if u.Zone != b.cfg.Zone {
+		score += otherZonePenalty
+	}
+	return score
+}
+
+// expectedLoad returns the expected number of requests in progress.
+func (u *upstreamState) expectedLoad(now time.Time) float64 {
 	load := float64(u.openingsSinceReport)
 	if age := now.Sub(u.reportedAt); age < loadReportLifetime {
 		load += float64(u.requestsInProgress) * (1 - float64(age)/float64(loadReportLifetime))
@@ -64,11 +81,7 @@
 	if now.Before(u.WarmUpUntil) {
 		load = (load + 1) * warmUpLoadFactor
 	}
-	score := load/slots + b.cfg.Random.Float64()*scoreJitter
-	if u.Zone != b.cfg.Zone {
-		score += otherZonePenalty
-	}
-	return score
+	return load
 }
 
 // SetUpstreams replaces the list of upstreams. The recorded state of those that
