steering: expected answers keep openings in their zone

With expected answers 538 of 1,000 openings left a zone that has a quarter of the upstreams, all idle (TestExpectedAnswersKeepOpeningsInTheZone, seen failing). The penalty for another zone was added to the load, below the spread of the random choice. It is now a factor on the score.

--- a/internal/steering/answer_score.go
+++ b/internal/steering/answer_score.go
@@ -29,6 +29,10 @@
 	// fullLoadFactor is the weight of the load of an upstream whose slots appear to be in
 	// use. It rejects an opening unless it is the last attempt.
 	fullLoadFactor = 2.0
+	// otherZoneFactor is the weight of the answer of an upstream in another zone. One opening
+	// in twenty leaves a zone with a quarter of the upstreams while these are idle, and
+	// half of them do while all of their slots are in use.
+	otherZoneFactor = 4.0
 	// choiceSpread randomizes the choice: the number of openings that an upstream gets
 	// goes with the power -1/choiceSpread of its expected answer.
 	choiceSpread = 0.33
@@ -121,14 +125,15 @@
 // took the fastest one, all would.
 func (u *upstreamState) answerScore(now time.Time, b *Balancer, comparison *answerComparison) float64 {
 	load := u.expectedLoad(now) / float64(max(u.Slots, 1))
-	if u.Zone != b.cfg.Zone {
-		load += otherZonePenalty
-	}
 	if u.expectedLoad(now) >= float64(u.Slots) {
 		load *= fullLoadFactor
 	}
 	spread := -math.Log(max(b.cfg.Random.Float64(), math.SmallestNonzeroFloat64))
-	return u.relativeAnswer(now, comparison) * (1 + load) * math.Pow(spread, choiceSpread)
+	score := u.relativeAnswer(now, comparison) * (1 + load) * math.Pow(spread, choiceSpread)
+	if u.Zone != b.cfg.Zone {
+		score *= otherZoneFactor
+	}
+	return score
 }
 
 // relativeAnswer returns the expected answer of an idle upstream as a multiple of the
--- a/internal/steering/capacity_test.go
+++ b/internal/steering/capacity_test.go
@@ -116,6 +116,31 @@
 	require.Greater(t, f.aimShare(), 0.98)
 }
 
+// Guards against openings that cross zones because a choice is random while upstreams of
+// the own zone are free.
+func TestExpectedAnswersKeepOpeningsInTheZone(t *testing.T) {
+	var upstreams []steering.Upstream
+	for i := range 12 {
+		upstream := newUpstream(i, orders, otherZone, view.Ready)
+		if i%4 == 0 {
+			upstream.Zone = ownZone
+		}
+		upstreams = append(upstreams, upstream)
+	}
+	b := newBalancerHarness(t, upstreams...)
+	left := 0
+	for port := uint16(2); port <= 1001; port++ {
+		for i := range upstreams {
+			b.handleMessage(i, steering.Message{Kind: steering.CapacityReport, Flows: 1<<15 | 31<<10 | 518})
+		}
+		b.now = b.now.Add(10 * time.Millisecond)
+		if agentNumber(b.handlePacket(openingPacket(port))[0].To)%4 != 0 {
+			left++
+		}
+	}
+	require.Less(t, left, 100)
+}
+
 // Guards against an agent that forgets with its restart that its upstream is slow: the
 // balancers know, and nobody else restarts.
 func TestExpectationSurvivesARestartOfTheAgent(t *testing.T) {
