steering: upstreams of usual speed are loaded equally

The share of openings went with the third power of the speed also among upstreams of usual speed. The requests of long flows stay where these were opened, so that the fastest upstream of a zone would take several times its part. Up to 1.7 times the median answer the share now goes with the speed; slower ones are avoided as before.

--- a/internal/steering/answer_score.go
+++ b/internal/steering/answer_score.go
@@ -22,8 +22,14 @@
 	// its requests gets hardly any opening by its score.
 	healthTolerance = 0.9
 	healthExponent  = 8.0
-	// fastestFactor and slowestFactor bound the deviation of one upstream from the median
-	// of its service.
+	// usualSpeedFactor is the multiple of the median up to which an upstream counts as one
+	// of usual speed. Upstreams of usual speed get openings in proportion to their speed, so
+	// that they are equally loaded: the requests of long flows stay where these were opened.
+	usualSpeedFactor = 1.7
+	// slowExponent is how strongly a slower upstream is avoided.
+	slowExponent = 1.6
+	// fastestFactor and slowestFactor bound the effect of the deviation of one upstream from
+	// the median of its service.
 	fastestFactor = 1.0 / 3
 	slowestFactor = 10.0
 	// fullLoadFactor is the weight of the load of an upstream whose slots appear to be in
@@ -136,13 +142,20 @@
 	return score
 }
 
-// relativeAnswer returns the expected answer of an idle upstream as a multiple of the
-// median of the service, longer if it fails more requests than the others.
+// speedEffect returns the effect of a deviation of the expected answer on the score, both
+// as logarithms.
+func speedEffect(deviation float64) float64 {
+	usual := min(deviation, math.Log(usualSpeedFactor))
+	return usual*choiceSpread + (deviation-usual)*slowExponent
+}
+
+// relativeAnswer returns the effect of the expected answer of an idle upstream on its score,
+// compared with the median of the service, and worse if it fails more requests than others.
 func (u *upstreamState) relativeAnswer(now time.Time, comparison *answerComparison) float64 {
 	if u.expectation.answer == 0 {
 		return 1
 	}
-	deviation := math.Log(u.expectation.answer.Seconds()) - comparison.medianLog
+	deviation := speedEffect(math.Log(u.expectation.answer.Seconds()) - comparison.medianLog)
 	if wanted := healthTolerance * comparison.medianHealth; u.expectation.health < wanted {
 		deviation += healthExponent * math.Log(wanted/max(u.expectation.health, 1.0/maxHealthCode))
 	}
