decision log: what the selected upstream was expected to do

Operators saw the load of a selected upstream, but not the learned answer time and health by which balancers now select. answer_ms, answer_age_ms and health_permille are in the lines of placements by expected answers, and in bramleyctl explain logs.

--- a/internal/ctl/explain_logs.go
+++ b/internal/ctl/explain_logs.go
@@ -58,6 +58,9 @@
 	if entry.Slots > 0 {
 		detail += fmt.Sprintf("load %d of %d, %d ms old ", entry.Load, entry.Slots, entry.LoadAgeMillis)
 	}
+	if entry.HealthPermille > 0 {
+		detail += fmt.Sprintf("answer %d ms, health %d, %d ms old ", entry.AnswerMillis, entry.HealthPermille, entry.AnswerAgeMillis)
+	}
 	if entry.Attempt > 1 {
 		detail += "try " + strconv.Itoa(entry.Attempt) + " "
 	}
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -52,6 +52,11 @@
 	// is the age of that report.
 	Load, Slots int
 	AgeMillis   int64
+	// AnswerMillis is the learned time of an answer of the peer and HealthPermille the
+	// share of its requests that end well, both AnswerAgeMillis old. They are zero unless
+	// the peer was selected by them.
+	AnswerMillis, AnswerAgeMillis int64
+	HealthPermille                int
 	// Version is the version of the desired state that the decision used.
 	Version uint64
 	// Attempt numbers the attempts at the placement of an opening, from 1.
@@ -256,6 +261,9 @@
 	if entry.Slots > 0 {
 		fields["load"], fields["slots"], fields["load_age_ms"] = entry.Load, entry.Slots, entry.AgeMillis
 	}
+	if entry.HealthPermille > 0 {
+		fields["answer_ms"], fields["answer_age_ms"], fields["health_permille"] = entry.AnswerMillis, entry.AnswerAgeMillis, entry.HealthPermille
+	}
 	if entry.Version > 0 {
 		fields["version"] = entry.Version
 	}
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -56,6 +56,9 @@
 	l := newTestLog(t, out)
 	l.LogRateLimited(sampleEntry)
 	l.LogAlways(decisionlog.Entry{At: sampleEntry.At, Event: "reset", Reason: "no_route", Flow: sampleEntry.Flow})
+	byAnswer := sampleEntry
+	byAnswer.AnswerMillis, byAnswer.AnswerAgeMillis, byAnswer.HealthPermille = 52, 700, 968
+	l.LogRateLimited(byAnswer)
 	cancelledCtx, cancel := context.WithCancel(t.Context())
 	cancel()
 	l.Run(cancelledCtx)
--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -165,10 +165,10 @@
 	}
 	switch {
 	case action.Kind == steering.Forward && action.Reason == steering.Placed:
-		entry.Load, entry.Slots, entry.AgeMillis, entry.Attempt = action.Placement.Load, action.Placement.Slots, action.Placement.Age.Milliseconds(), action.Placement.Attempt
+		addPlacement(&entry, &action.Placement)
 		b.Decisions.LogRateLimited(entry)
 	case action.Kind == steering.Forward && action.Reason == steering.PlacedOnRetry:
-		entry.Load, entry.Slots, entry.AgeMillis, entry.Attempt = action.Placement.Load, action.Placement.Slots, action.Placement.Age.Milliseconds(), action.Placement.Attempt
+		addPlacement(&entry, &action.Placement)
 		b.Decisions.LogAlways(entry)
 	case action.Kind == steering.Forward && (action.Reason == steering.KnownFlow || action.Reason == steering.Repeated):
 	case action.Kind == steering.SendMessage:
@@ -177,6 +177,13 @@
 	}
 }
 
+// addPlacement adds the inputs of the selection of an upstream to an entry.
+func addPlacement(entry *decisionlog.Entry, placement *steering.PlacementInfo) {
+	entry.Load, entry.Slots, entry.AgeMillis, entry.Attempt = placement.Load, placement.Slots, placement.Age.Milliseconds(), placement.Attempt
+	entry.AnswerMillis, entry.AnswerAgeMillis = placement.Answer.Milliseconds(), placement.AnswerAge.Milliseconds()
+	entry.HealthPermille = int(placement.Health * 1000)
+}
+
 // handleAgentMessage processes a message of an agent about an opening or a flow.
 func (b *Balancer) handleAgentMessage(from netip.Addr, m *steering.Message) {
 	b.lockAndRunDecision(func(now time.Time, out *[]steering.Action) {
--- a/internal/logsearch/logsearch.go
+++ b/internal/logsearch/logsearch.go
@@ -56,8 +56,13 @@
 	Load          int       `json:"load,omitempty"`
 	Slots         int       `json:"slots,omitempty"`
 	LoadAgeMillis int64     `json:"load_age_ms,omitempty"`
-	Version       uint64    `json:"version,omitempty"`
-	Attempt       int       `json:"try,omitempty"`
+	// AnswerMillis, AnswerAgeMillis and HealthPermille are set if the peer was selected by
+	// what its agent has learned.
+	AnswerMillis    int64  `json:"answer_ms,omitempty"`
+	AnswerAgeMillis int64  `json:"answer_age_ms,omitempty"`
+	HealthPermille  int    `json:"health_permille,omitempty"`
+	Version         uint64 `json:"version,omitempty"`
+	Attempt         int    `json:"try,omitempty"`
 }
 
 // Result holds the matching entries, sorted by time, and the likely cause of the
--- a/internal/steering/answer_score.go
+++ b/internal/steering/answer_score.go
@@ -162,3 +162,10 @@
 	deviation = min(max(deviation, math.Log(fastestFactor)), math.Log(slowestFactor))
 	return math.Exp(deviation * math.Exp(-float64(now.Sub(u.expectedAt))/float64(expectationLifetime)))
 }
+
+// addExpectation adds the expectation by which an upstream was selected.
+func (b *Balancer) addExpectation(now time.Time, selected *upstreamState, placement *PlacementInfo) {
+	if comparison := b.answerComparisons[selected.Service]; comparison != nil && comparison.usable && selected.expectation.answer > 0 {
+		placement.Answer, placement.Health, placement.AnswerAge = selected.expectation.answer, selected.expectation.health, now.Sub(selected.expectedAt)
+	}
+}
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -170,4 +170,8 @@
 	// Attempt is the number of upstreams that the opening was sent to, including this
 	// one.
 	Attempt int
+	// Answer is the learned time of an answer and Health the share of requests that end
+	// well, both AnswerAge old. They are zero unless the upstream was selected by them.
+	Answer, AnswerAge time.Duration
+	Health            float64
 }
--- a/internal/steering/placement.go
+++ b/internal/steering/placement.go
@@ -36,10 +36,12 @@
 	b.setDeadline(entry, now.Add(openingResponseTimeout))
 	header := b.newForwardingHeader(entry, selected)
 	header.LastAttempt, header.TimeBudget = !hasMore, route.Objective-entry.callerWait(now)
+	placement := PlacementInfo{Load: selected.requestsInProgress + selected.openingsSinceReport, Slots: selected.Slots, Age: now.Sub(selected.reportedAt), Attempt: len(entry.attemptedAgents)}
+	b.addExpectation(now, selected, &placement)
 	*actions = append(*actions, Action{
 		Kind: Forward, Reason: reason, Flow: entry.key, To: selected.Address.Addr(), Data: entry.openingPacket,
 		Header:    header,
-		Placement: PlacementInfo{Load: selected.requestsInProgress + selected.openingsSinceReport, Slots: selected.Slots, Age: now.Sub(selected.reportedAt), Attempt: len(entry.attemptedAgents)},
+		Placement: placement,
 	})
 }
 
