--- a/internal/steering/capacity_fleet_test.go
+++ b/internal/steering/capacity_fleet_test.go
@@ -1,10 +1,10 @@
 package steering_test
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,23 +26,23 @@
 // its own. The upstreams are fakes: they work on fleetSlots requests at once and queue
 // others.
 type fleet struct {
-	t          *testing.T
-	now        time.Time
-	events     fleetEvents
-	random     *rand.Rand
-	learns     bool
-	allKnown   bool
-	balancers  []*steering.Balancer
-	upstreams  []*fleetUpstream
-	requests   map[uint16]*fleetRequest
-	nextPort   uint16
-	eventCount int
+	t         *testing.T
+	now       time.Time
+	events    []fleetEvent
+	random    *rand.Rand
+	learns    bool
+	allKnown  bool
+	balancers []*steering.Balancer
+	upstreams []*fleetUpstream
+	requests  map[uint16]*fleetRequest
+	nextPort  uint16
 	// sent, inAim and failed count requests since the last reset.
 	sent, inAim, failed int
 }
 
 type fleetUpstream struct {
 	agent   *steering.Agent
+	index   int
 	speed   float64
 	running int
 	queue   []*fleetRequest
@@ -63,23 +63,8 @@
 }
 
 type fleetEvent struct {
-	at     time.Time
-	number int
-	run    func()
-}
-
-type fleetEvents []fleetEvent
-
-func (e fleetEvents) Len() int { return len(e) }
-func (e fleetEvents) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].number < e[j].number
-}
-func (e fleetEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *fleetEvents) Push(x any)   { *e = append(*e, x.(fleetEvent)) }
-func (e *fleetEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
+	at  time.Time
+	run func()
 }
 
 func fleetBalancerAddress(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)}) }
@@ -90,7 +75,7 @@
 	speeds := []float64{0.6, 1, 1.6}
 	list := make([]steering.Upstream, 0, upstreams)
 	for i := range upstreams {
-		u := &fleetUpstream{speed: speeds[i%len(speeds)], slowdown: func(int) float64 { return 1 }}
+		u := &fleetUpstream{index: i, speed: speeds[i%len(speeds)], slowdown: func(int) float64 { return 1 }}
 		f.upstreams = append(f.upstreams, u)
 		f.startAgent(u)
 		listed := newUpstream(i, orders, ownZone, view.Ready)
@@ -119,8 +104,14 @@
 }
 
 func (f *fleet) after(delay time.Duration, run func()) {
-	f.eventCount++
-	heap.Push(&f.events, fleetEvent{at: f.now.Add(delay), number: f.eventCount, run: run})
+	at := f.now.Add(delay)
+	i, _ := slices.BinarySearchFunc(f.events, at, func(e fleetEvent, at time.Time) int {
+		if e.at.After(at) {
+			return 1
+		}
+		return -1
+	})
+	f.events = slices.Insert(f.events, i, fleetEvent{at: at, run: run})
 }
 
 // tick calls the timers of all processes.
@@ -152,7 +143,8 @@
 	}
 	arrive()
 	for len(f.events) > 0 && f.events[0].at.Before(end) {
-		event := heap.Pop(&f.events).(fleetEvent)
+		event := f.events[0]
+		f.events = f.events[1:]
 		f.now = event.at
 		event.run()
 	}
@@ -254,7 +246,7 @@
 		r := f.requests[action.Flow.Caller.Port()]
 		switch {
 		case action.Kind == steering.SendMessage:
-			message, from := action.Message, f.addressOf(u)
+			message, from := action.Message, agentAddress(u.index)
 			balancer := int(action.To.As4()[3]) - 1
 			f.after(fleetLinkDelay, func() {
 				var out []steering.Action
@@ -271,15 +263,6 @@
 	}
 }
 
-func (f *fleet) addressOf(u *fleetUpstream) netip.Addr {
-	for i := range f.upstreams {
-		if f.upstreams[i] == u {
-			return agentAddress(i)
-		}
-	}
-	return netip.Addr{}
-}
-
 func (f *fleet) fromUpstream(u *fleetUpstream, packet *steering.Packet) {
 	var actions []steering.Action
 	u.agent.HandleUpstreamPacket(f.now, packet, []byte("packet"), &actions)
--- a/internal/steering/capacity_test.go
+++ b/internal/steering/capacity_test.go
@@ -78,6 +78,7 @@
 func TestPlacementByExpectedAnswers(t *testing.T) {
 	for name, disturbance := range disturbances {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			var weights, learned, best, during, after float64
 			for seed := range uint64(fleetSeeds) {
 				bySlots, _, _ := playDisturbance(newFleet(t, seed, 12, fleetUpstreams, false), disturbance.perSecond, disturbance.apply)
