steering: probing openings stay in the zone

The 4 % of openings that go to any upstream while one is avoided went to any zone, most of them to another one. The balancers of that zone probe its upstreams.

--- a/internal/steering/answer_score.go
+++ b/internal/steering/answer_score.go
@@ -42,9 +42,11 @@
 	// choiceSpread randomizes the choice: the number of openings that an upstream gets
 	// goes with the power -1/choiceSpread of its expected answer.
 	choiceSpread = 0.33
-	// probeShare is the share of the openings whose first attempt goes to any upstream
-	// whatever its score. By these the recovery of an avoided one shows.
+	// probeShare is the share of the openings whose first attempt goes to any upstream of
+	// the zone whatever its score. By these the recovery of an avoided one shows.
 	probeShare = 0.04
+	// bestProbeScore bounds the scores of probed upstreams. Those of others are above it.
+	bestProbeScore = 1e-6
 	// avoidedFactor is the multiple of the median from which an upstream is avoided.
 	avoidedFactor = 1.5
 )
@@ -56,9 +58,9 @@
 	// of the logarithms of the expected answers, medianHealth that of the health.
 	usable                  bool
 	medianLog, medianHealth float64
-	// anyAvoided is set if some upstream gets hardly any opening by its score.
+	// anyAvoided is set if some upstream of the zone gets hardly any opening by its score.
 	anyAvoided bool
-	// probes is set if the present attempt goes to any upstream.
+	// probes is set if the present attempt goes to any upstream of the zone.
 	probes bool
 }
 
@@ -106,7 +108,8 @@
 	slices.Sort(allHealth)
 	comparison.usable, comparison.medianLog, comparison.medianHealth = true, all[len(all)/2], allHealth[len(allHealth)/2]
 	for _, upstream := range b.serviceMembers[name] {
-		comparison.anyAvoided = comparison.anyAvoided || upstream.relativeAnswer(now, comparison) > avoidedFactor
+		avoided := upstream.Zone == b.cfg.Zone && upstream.relativeAnswer(now, comparison) > avoidedFactor
+		comparison.anyAvoided = comparison.anyAvoided || avoided
 	}
 	return comparison
 }
@@ -117,8 +120,8 @@
 	if !comparison.usable {
 		return upstream.loadScore(now, b)
 	}
-	if comparison.probes {
-		return b.cfg.Random.Float64()
+	if comparison.probes && upstream.Zone == b.cfg.Zone {
+		return b.cfg.Random.Float64() * bestProbeScore
 	}
 	return upstream.answerScore(now, b, comparison)
 }
