--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -138,8 +138,10 @@
 	AgentUndetermined   Reason = "agent_unsure"
 	WrongService        Reason = "wrong_service"
 	UpstreamReplied     Reason = "upstream_replied"
-	NoHolder            Reason = "nobody_holds"
-	UpstreamFailed      Reason = "upstream_lost"
+	// CapacityChanged: a capacity report is sent.
+	CapacityChanged Reason = "capacity_changed"
+	NoHolder        Reason = "nobody_holds"
+	UpstreamFailed  Reason = "upstream_lost"
 	// NotOurs is the reason of no action at present.
 	NotOurs Reason = "not_ours"
 )
@@ -176,4 +178,8 @@
 	// Attempt is the number of upstreams that the opening was sent to, including this
 	// one.
 	Attempt int
+	// Answer is the learned time of an answer and Health the share of requests that end
+	// well, both AnswerAge old. They are zero unless the upstream was selected by them.
+	Answer, AnswerAge time.Duration
+	Health            float64
 }
--- a/internal/steering/upstream_state.go
+++ b/internal/steering/upstream_state.go
@@ -34,10 +34,15 @@
 type upstreamState struct {
 	Upstream
 	serviceTag ServiceTag
-	// requestsInProgress and openFlows come from the last message of the agent,
-	// received at reportedAt.
-	requestsInProgress, openFlows int
-	reportedAt                    time.Time
+	// requestsInProgress comes from the last message of the agent, received at
+	// reportedAt.
+	requestsInProgress int
+	reportedAt         time.Time
+	// expectation is the last one that states an expected answer, or the last one if none
+	// does. It was received at expectedAt. An agent that has restarted states none at
+	// first; the one before its restart then holds on.
+	expectation answerExpectation
+	expectedAt  time.Time
 	// openingsSinceReport counts the openings sent to it since that message.
 	openingsSinceReport int
 	// avoidUntil is set after it has rejected an opening or not responded to one.
@@ -51,7 +56,11 @@
 
 // updateReport stores the load report that every message of an agent has.
 func (u *upstreamState) updateReport(now time.Time, message *Message) {
-	u.requestsInProgress, u.openFlows, u.reportedAt, u.openingsSinceReport, u.lookupUnresponsiveUntil = int(message.Load), int(message.Flows), now, 0, time.Time{}
+	u.requestsInProgress, u.reportedAt, u.openingsSinceReport, u.lookupUnresponsiveUntil = int(message.Load), now, 0, time.Time{}
+	expectation := decodeExpectation(message.Flows)
+	if expectation.answer > 0 || !expectation.learned || !u.expectation.learned {
+		u.expectation, u.expectedAt = expectation, now
+	}
 }
 
 // mayAcceptSoon reports whether the upstream is ready, starting or suspected.
@@ -59,8 +68,8 @@
 	return u.Status != view.Left && u.Status != view.Leaving && u.Status != view.Failed
 }
 
-// loadScore returns the expected score, randomized. The upstream with the lowest one is
-// selected.
+// loadScore returns the expected score, randomized. Where openings are not placed by
+// expected answers, the upstream with the lowest one is selected.
 func (u *upstreamState) loadScore(now time.Time, b *Balancer) float64 {
 	return u.expectedScore(now, b) + b.cfg.Random.Float64()*scoreJitter
 }
@@ -68,19 +77,25 @@
 // expectedScore returns the expected load as a share of the slots, with a penalty for
 // another zone.
 func (u *upstreamState) expectedScore(now time.Time, b *Balancer) float64 {
+	score := u.loadShare(now, b)
+	if u.Zone != b.cfg.Zone {
+		score += otherZonePenalty
+	}
+	return score
+}
+
+// loadShare returns the expected load as a share of the slots, or of what the upstream
+// bears while it is cold.
+func (u *upstreamState) loadShare(now time.Time, b *Balancer) float64 {
 	slots := float64(max(u.Slots, 1))
 	load := float64(u.openingsSinceReport)
 	if age := now.Sub(u.reportedAt); age < loadReportLifetime {
 		load += float64(u.requestsInProgress) * (1 - float64(age)/float64(loadReportLifetime))
 	}
-	score := load / slots
 	if now.Before(u.WarmUpUntil) {
-		score = u.coldLoadScore(now, load, slots, b.warmUpRates[u.Service])
+		return u.coldLoadScore(now, load, slots, b.warmUpRates[u.Service])
 	}
-	if u.Zone != b.cfg.Zone {
-		score += otherZonePenalty
-	}
-	return score
+	return load / slots
 }
 
 // SetUpstreams replaces the list of upstreams. The recorded state of those that
