steering: failing upstreams are avoided also while others are full

A caller that is refused may try again; one whose request fails on the upstream may not. Agents had sent 1,500 capacity reports a second; they now report changes by a factor of 2 and of the health by 0.2.

--- a/internal/steering/agent_capacity.go
+++ b/internal/steering/agent_capacity.go
@@ -14,8 +14,8 @@
 	capacityReportInterval = 500 * time.Millisecond
 	// reportedAnswerFactor and reportedHealthChange are the changes since the last
 	// capacity report that cause the next one.
-	reportedAnswerFactor = 1.6
-	reportedHealthChange = 0.15
+	reportedAnswerFactor = 2.0
+	reportedHealthChange = 0.2
 	// balancerMemory is how long after its last packet a balancer gets capacity reports.
 	// maxReportedBalancers bounds the receivers.
 	balancerMemory       = 30 * time.Second
--- a/internal/steering/answer_score.go
+++ b/internal/steering/answer_score.go
@@ -31,7 +31,7 @@
 	// fastestFactor and slowestFactor bound the effect of the deviation of one upstream from
 	// the median of its service.
 	fastestFactor = 1.0 / 3
-	slowestFactor = 10.0
+	slowestFactor = 40.0
 	// fullLoadFactor is the weight of the load of an upstream whose slots appear to be in
 	// use. It rejects an opening unless it is the last attempt.
 	fullLoadFactor = 5.0
