Agents pass members that have not answered last

Cause: the flow was opened 4.2 s after its home was lost, before any process knew of the loss. The holder registered it with the lost home alone and sent no hint, since its hints were at their limit. The balancer sent the first packets and the fourth attempt to the lost home, and the second and third to the next two in rank, which knew no holder and forwarded them to the lost home.

Change: two bits of the flags of a frame hold the number of unanswered attempts; agents of earlier builds ignore them. Agents forward such a packet to members that were not tried first, then to those that did not answer, then to suspected ones. A member that did not answer has not denied the flow: it is asked before the chain ends in a reset, also at the limit of hops. The holder of such a packet sends a hint, within the limit of hints.

TestAttemptPassesUnansweredMembersLast fails without the order and without the hint; TestAttemptReachesUnansweredHolder fails if members that did not answer are left out, and without the reserve of hops; TestRetransmissionIsSentToNextRank fails if the balancer tells no attempts. All three were seen to fail.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -203,6 +203,7 @@
 func (c *Core) handleCallerPacket(pkt *callerPacket, out *Actions) {
 	switch c.deliverToHeldFlow(pkt, out) {
 	case packetHandled:
+		c.sendHintAfterAttempts(pkt, out)
 		return
 	case flowHeldElsewhere:
 		c.forwardToNextMember(pkt, out)
--- a/internal/agent/drain_test.go
+++ b/internal/agent/drain_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bramleyhold.example/bramleyhold/internal/flow"
+	"bramleyhold.example/bramleyhold/internal/frame"
 	"bramleyhold.example/bramleyhold/internal/packet"
 	"bramleyhold.example/bramleyhold/internal/view"
 )
@@ -196,9 +197,7 @@
 	cluster.node(2).down = true
 	cluster.setStatus(2, view.Suspected)
 	cluster.publishView()
-	for _, node := range cluster.nodes {
-		node.core.registry = newRegistry(node.core.cfg.Limits.Registrations) // All registrations are lost.
-	}
+	cluster.forgetRegistrations()
 	wantDelivered := 0
 	for _, caller := range callers {
 		if caller.holder() == nil {
@@ -213,6 +212,80 @@
 	require.Len(t, cluster.payloadDeliveries, wantDelivered)
 }
 
+// sendAttempt sends data of a caller to a member in the ranking of its flow, as a
+// balancer does after this number of attempts.
+func (caller *testCaller) sendAttempt(attempts int) {
+	cluster, hash := caller.cluster, testHasher.Hash(caller.key)
+	var tried uint64
+	for range attempts {
+		tried |= 1 << uint(cluster.service().NextMember(hash, tried))
+	}
+	pkt := testPacket{meta: caller.meta(packet.ACK, 10)}
+	pkt.header = frame.Header{Service: 1, Origin: cluster.balancerHash(), Flags: frame.Flags(0).WithAttempts(uint8(attempts))}
+	cluster.sendFrame(cluster.node(cluster.service().NextMember(hash, tried)), pkt)
+}
+
+// A packet sent again must reach its holder although the home of the flow has
+// failed unseen and no other agent has the registration. Agents would otherwise
+// forward each attempt to the home. The holder then sends a hint.
+func TestAttemptPassesUnansweredMembersLast(t *testing.T) {
+	setup := tcpShortRequestSetup()
+	setup.nodes, setup.slots = 7, 20
+	for _, attempts := range []int{1, 2} {
+		cluster := newTestCluster(t, setup)
+		callers := cluster.connectCallers(0, 40)
+		cluster.node(2).down = true
+		cluster.forgetRegistrations()
+		wantDelivered := 0
+		for _, caller := range callers {
+			hash, holder := testHasher.Hash(caller.key), caller.holderIndex()
+			if cluster.service().Home(hash) != 2 || holder < 0 || holder == 2 {
+				continue
+			}
+			wantDelivered++
+			delete(cluster.hints, caller.key)
+			caller.sendAttempt(attempts)
+			cluster.advance(10 * linkDelay)
+			require.Equal(t, cluster.node(holder).vm, cluster.hints[caller.key])
+		}
+		require.NotZero(t, wantDelivered)
+		require.Len(t, cluster.payloadDeliveries, wantDelivered)
+	}
+}
+
+// A member that did not answer an attempt has not denied the flow: it must be asked
+// before a reset, and before the limit of hops in a service of many members.
+func TestAttemptReachesUnansweredHolder(t *testing.T) {
+	setup := tcpShortRequestSetup()
+	setup.slots = 20
+	for _, nodes := range []int{3, 20} {
+		for _, attempts := range []int{1, 2} {
+			setup.nodes = nodes
+			cluster := newTestCluster(t, setup)
+			callers := cluster.connectCallers(0, 40)
+			cluster.forgetRegistrations()
+			wantDelivered := 0
+			for _, caller := range callers {
+				if holder := caller.holderIndex(); holder >= 0 && cluster.service().Home(testHasher.Hash(caller.key)) == holder {
+					wantDelivered++
+					caller.sendAttempt(attempts)
+				}
+			}
+			cluster.advance(20 * linkDelay)
+			require.NotZero(t, wantDelivered)
+			require.Len(t, cluster.payloadDeliveries, wantDelivered)
+			require.Empty(t, cluster.resets)
+		}
+	}
+}
+
+// forgetRegistrations deletes the registrations at all agents.
+func (cluster *testCluster) forgetRegistrations() {
+	for _, node := range cluster.nodes {
+		node.core.registry = newRegistry(node.core.cfg.Limits.Registrations)
+	}
+}
+
 // The placer must not send a home lookup to a suspected home, which may have
 // failed and would then lose the opening.
 func TestHomeLookupSkipsSuspectedHome(t *testing.T) {
--- a/internal/agent/forwarding.go
+++ b/internal/agent/forwarding.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"math/bits"
+
 	"bramleyhold.example/bramleyhold/internal/event"
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/frame"
@@ -70,12 +72,7 @@
 // forwardToNextMember forwards a packet to the next member in the forwarding
 // chain of its flow.
 func (c *Core) forwardToNextMember(pkt *callerPacket, out *Actions) {
-	excluded := pkt.svc.MemberMask(pkt.header.Tried[:]) | c.selfMask(pkt.svc)
-	// A suspected member may have failed, so it comes after all others.
-	next := pkt.svc.NextMember(pkt.hash, excluded|suspectedMembers(pkt.svc))
-	if next < 0 {
-		next = pkt.svc.NextMember(pkt.hash, excluded)
-	}
+	next := c.nextInChain(pkt)
 	if next >= 0 && pkt.header.Hops < frame.MaxHops {
 		header := *pkt.header
 		header.Flags &^= frame.FlagHinted
@@ -86,6 +83,42 @@
 	c.handleChainEnd(pkt, out)
 }
 
+// nextInChain returns the index of the next member in the forwarding chain of a
+// packet, or -1. A member that did not answer an earlier attempt may have failed,
+// so it comes after the others, but it has not denied the flow. A suspected member
+// comes last.
+func (c *Core) nextInChain(pkt *callerPacket) int {
+	excluded := pkt.svc.MemberMask(pkt.header.Tried[:]) | c.selfMask(pkt.svc)
+	suspected := suspectedMembers(pkt.svc)
+	unanswered := unansweredMembers(pkt) &^ excluded
+	// A member that is asked last must still be able to forward the packet to the
+	// registered holder.
+	hopsLeft := frame.MaxHops - int(pkt.header.Hops) - 1
+	if unanswered != 0 && hopsLeft > bits.OnesCount64(unanswered) {
+		if next := pkt.svc.NextMember(pkt.hash, excluded|suspected|unanswered); next >= 0 {
+			return next
+		}
+	}
+	if next := pkt.svc.NextMember(pkt.hash, excluded|suspected); next >= 0 {
+		return next
+	}
+	return pkt.svc.NextMember(pkt.hash, excluded)
+}
+
+// unansweredMembers returns a bit for each member to which the balancer has sent
+// the packet before, without an answer.
+func unansweredMembers(pkt *callerPacket) uint64 {
+	var mask uint64
+	for range pkt.header.Flags.Attempts() {
+		i := pkt.svc.NextMember(pkt.hash, mask)
+		if i < 0 {
+			break
+		}
+		mask |= 1 << uint(i)
+	}
+	return mask
+}
+
 // suspectedMembers returns a bit for each suspected member.
 func suspectedMembers(svc *view.Service) uint64 {
 	var mask uint64
@@ -187,6 +220,15 @@
 	}
 }
 
+// sendHintAfterAttempts sends a hint for a held flow whose packet the balancer
+// had to send to several members. Later packets then need no attempts. A registrar
+// that has forwarded the packet sent a hint already.
+func (c *Core) sendHintAfterAttempts(pkt *callerPacket, out *Actions) {
+	if pkt.header.Flags.Attempts() > 0 && !pkt.header.Flags.Has(frame.FlagHinted) {
+		c.sendRateLimitedHint(pkt, c.cfg.VM, c.cfg.Incarnation, out)
+	}
+}
+
 // sendHint sends a hint with the holder of a flow to the balancer of a frame.
 // An empty holder deletes the hint of the balancer.
 func (c *Core) sendHint(header *frame.Header, key flow.Key, holder vm.ID, incarnation vm.Incarnation, out *Actions) {
--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -174,7 +174,9 @@
 		return member
 	}
 	if m.Protocol == packet.ProtocolTCP {
-		return c.memberByAttempts(now, d.Service, flowHash, m)
+		member, attempts := c.memberByAttempts(now, d.Service, flowHash, m)
+		d.Header.Flags = d.Header.Flags.WithAttempts(attempts)
+		return member
 	}
 	return d.Service.Home(flowHash)
 }
--- a/internal/balancer/core_test.go
+++ b/internal/balancer/core_test.go
@@ -205,12 +205,13 @@
 	receivers := map[vm.ID]bool{}
 	data := tcpPacket(packet.ACK)
 	data.PayloadBytes = 100
-	for _, pause := range []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond} {
+	for attempts, pause := range []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond} {
 		now = now.Add(pause)
 		c.Decide(now, data, &d)
 		receiver := d.To.VM
 		c.Decide(now.Add(time.Millisecond), data, &d)
 		require.Equal(t, receiver, d.To.VM, "packets of one burst count as one attempt")
+		require.Equal(t, attempts, d.Header.Flags.Attempts(), "agents must know which members have not answered")
 		receivers[receiver] = true
 	}
 	require.Len(t, receivers, 3)
--- a/internal/balancer/retransmission.go
+++ b/internal/balancer/retransmission.go
@@ -87,8 +87,9 @@
 
 // memberByAttempts returns the index of the member that receives a packet of an
 // established TCP flow without a hint: the home of the flow, or after a
-// retransmission the next member in rank.
-func (c *Core) memberByAttempts(now time.Time, s *view.Service, flowHash uint64, m *packet.Meta) int {
+// retransmission the next member in rank. It also returns the number of members
+// before it in rank, which have received the packet without an answer.
+func (c *Core) memberByAttempts(now time.Time, s *view.Service, flowHash uint64, m *packet.Meta) (member int, attempts uint8) {
 	var triedMask uint64
 	for range c.retransmissions.recordPacket(now, flowHash, m) {
 		i := s.NextMember(flowHash, triedMask)
@@ -96,9 +97,10 @@
 			break
 		}
 		triedMask |= 1 << uint(i)
+		attempts++
 	}
 	if i := s.NextMember(flowHash, triedMask); i >= 0 {
-		return i
+		return i, attempts
 	}
-	return s.Home(flowHash)
+	return s.Home(flowHash), 0
 }
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -14,7 +14,7 @@
 
 // newLargestHeader returns a header whose fields have their longest encoding.
 func newLargestHeader(kind Kind) Header {
-	return Header{Kind: kind, Hops: 2, Flags: FlagOpening, Service: 7, Incarnation: 1 << 60, Epoch: 1 << 61, Tried: [MaxHops]uint32{1 << 31, 1 << 31, 1 << 31, 1 << 31, 1 << 31, 1 << 31, 1 << 31, 1 << 31}, Placement: 1 << 31, Origin: 1 << 62, Trace: Trace{High: 1 << 63, Low: 1 << 63, Span: 1 << 63}}
+	return Header{Kind: kind, Hops: 2, Flags: FlagOpening.WithAttempts(MaxAttempts), Service: 7, Incarnation: 1 << 60, Epoch: 1 << 61, Tried: [MaxHops]uint32{1 << 31, 1 << 31, 1 << 31, 1 << 31, 1 << 31, 1 << 31, 1 << 31, 1 << 31}, Placement: 1 << 31, Origin: 1 << 62, Trace: Trace{High: 1 << 63, Low: 1 << 63, Span: 1 << 63}}
 }
 
 // Guards against an encoding that loses a field or exceeds MaxOverhead.
--- a/internal/frame/header.go
+++ b/internal/frame/header.go
@@ -42,6 +42,25 @@
 	FlagDeclined
 )
 
+// The two bits above the flags hold the number of attempts. Agents of earlier
+// builds ignore them.
+const (
+	attemptsShift = 6
+	// MaxAttempts is the highest number of attempts that a frame can hold.
+	MaxAttempts = 3
+)
+
+// WithAttempts returns the flags with a number of unanswered attempts, which is at
+// most MaxAttempts: the balancer has sent this packet of a flow to the first
+// members in the ranking of the flow, one after the other, and sends it to the
+// next one now.
+func (f Flags) WithAttempts(attempts uint8) Flags {
+	return f&(1<<attemptsShift-1) | Flags(min(attempts, MaxAttempts))<<attemptsShift
+}
+
+// Attempts returns the number of unanswered attempts.
+func (f Flags) Attempts() int { return int(f >> attemptsShift) }
+
 // Has reports whether all the given flags are set.
 func (f Flags) Has(other Flags) bool { return f&other == other }
 
