--- a/internal/soak/zone_orders.go
+++ b/internal/soak/zone_orders.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"bramleyhold.example/bramleyhold/platform/platformtest"
@@ -36,7 +38,13 @@
 		}
 		d.mu.Lock()
 		d.zoneOut = ""
+		upstreams := slices.Collect(maps.Values(d.upstreams))
 		d.mu.Unlock()
+		for _, u := range upstreams {
+			if u.agent.settings.Zone == zone {
+				u.turnCold()
+			}
+		}
 		if !d.orderZone(ctx, random, zone, http.MethodDelete) {
 			return
 		}
--- a/internal/steering/agent_zone.go
+++ b/internal/steering/agent_zone.go
@@ -48,7 +48,8 @@
 	if !terms.replaces(&a.terms, a.termsKnown) {
 		return false
 	}
-	returned := a.termsKnown && terms.OwnZoneReturns > a.terms.OwnZoneReturns
+	// The first terms of an agent count, too: its first check-in may be older than the return.
+	returned := terms.OwnZoneReturns > a.terms.OwnZoneReturns
 	a.terms, a.termsKnown, a.unconfirmed = terms, true, unconfirmedTerms{}
 	a.applyWarmUpTerms(now)
 	if returned {
