steering: openings admitted and refused by class

Callers: a rejected opening of the feed excluded its upstream for urgent openings, too; agents took service times only from requests that found a free slot, and none from flows that the upstream closes with its answer, so that a slow upstream kept the estimate of a fast one.

Change: agents decide by admission.Policy where the routes of a service differ in priority. Copies of a request that arrive after its answer start none. Agents log and count the decisions by priority.

--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -40,6 +40,7 @@
 	outboundConn *net.UDPConn
 	// actionCounters counts actions by kind and reason.
 	actionCounters actionCounters
+	admissions     admissionReport
 	stopping       bool
 }
 
@@ -66,6 +67,7 @@
 		requests, flows := a.core.Load()
 		a.setGauge("flows", flows)
 		a.setGauge("requests", requests)
+		a.reportAdmissions(now)
 	}
 	shared.nextDeadline = a.core.Deadline
 	a.execute = a.executeAction
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"bramleyhold.example/bramleyhold/internal/admission"
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/service"
 )
@@ -71,6 +72,11 @@
 	pendingOpenings []pendingOpening
 	// stageCounts is the number of flows in each request stage.
 	stageCounts [stageCount]int
+	// classes decides which class gets scarce room. classLoad counts the requests by
+	// class, admissions the decisions.
+	classes     admission.Policy
+	classLoad   admission.Load
+	admissions  [admission.Levels]AdmissionCounts
 	serviceTime serviceTimeEstimator
 	nextSweep   time.Time
 }
@@ -121,6 +127,7 @@
 		held.established = true
 	}
 	held.balancer, held.lastPacketAt = balancer, now
+	a.setClass(held, &header)
 	a.trackCallerPacket(now, held, packet)
 	*actions = append(*actions, Action{Kind: Deliver, Reason: KnownFlow, Flow: packet.Flow, Data: data})
 }
@@ -132,9 +139,8 @@
 	case packet.Flags.Has(RST):
 		a.setStage(held, stageIdle)
 		held.finished = true
-	case packet.Payload > 0 && held.stage != stageInProgress:
-		held.requestStartedAt, held.measureServiceTime = now, a.stageCounts[stageInProgress] < a.upstream.Slots
-		a.setStage(held, stageInProgress)
+	case packet.Payload > 0 && held.stage != stageInProgress && !held.hasSeen(packet.Sequence):
+		a.startRequest(now, held, packet.Sequence)
 	}
 	if packet.Flags.Has(FIN) {
 		held.callerFinished = true
--- /dev/null
+++ b/internal/steering/agent_class_test.go
@@ -0,0 +1,97 @@
+package steering_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bramleyhold.example/bramleyhold/internal/intent"
+	"bramleyhold.example/bramleyhold/internal/steering"
+	"bramleyhold.example/bramleyhold/internal/view"
+)
+
+func headerOf(priority int) steering.ForwardingHeader {
+	header := ownHeader
+	header.Class, header.ClassKnown = intent.Class{Priority: priority, Kind: intent.Idempotent}, true
+	return header
+}
+
+// An agent whose openings all have one priority must decide as one that does not know
+// their class.
+func TestOnePriorityDecidesAsWithoutClasses(t *testing.T) {
+	known, unknown := newReadyAgent(t), newReadyAgent(t)
+	for port := uint16(1); port <= 60; port++ {
+		for _, lastAttempt := range []bool{false, true} {
+			knownHeader, unknownHeader := headerOf(2), ownHeader
+			knownHeader.LastAttempt, unknownHeader.LastAttempt = lastAttempt, lastAttempt
+			key := 2 * port
+			if lastAttempt {
+				key++
+			}
+			got, want := known.handleCallerPacket(openingPacket(key), knownHeader), unknown.handleCallerPacket(openingPacket(key), unknownHeader)
+			require.Equal(t, want, got)
+			if want[0].Kind != steering.Deliver {
+				continue
+			}
+			for _, a := range []*agentHarness{known, unknown} {
+				a.handleUpstreamPacket(upstreamPacket(key, steering.SYN|steering.ACK, 0))
+				a.handleCallerPacket(callerPacket(key, 10), knownHeader)
+			}
+		}
+		if port%3 == 0 {
+			for _, a := range []*agentHarness{known, unknown} {
+				a.now = a.now.Add(20 * time.Millisecond)
+				a.handleUpstreamPacket(upstreamPacket(2*port, steering.ACK, 10))
+			}
+		}
+	}
+}
+
+// A rejected opening of a lower priority must not keep openings of a higher one from the
+// upstream.
+func TestRejectionExcludesItsPriorityOnly(t *testing.T) {
+	b := newBalancerHarness(t, newUpstream(1, orders, ownZone, view.Ready))
+	desired := newDesired(2, intent.WeightedService{Service: orders, Weight: 1})
+	desired.Routes[0].Priority = 2
+	urgent := desired.Routes[0]
+	urgent.Virtual, urgent.Priority = virtualOf(8080), 1
+	desired.Routes = append(desired.Routes, urgent)
+	b.SetDesired(desired)
+	b.handlePacket(openingPacket(1))
+	require.Equal(t, steering.AllOverloaded, b.handleMessage(1, steering.Message{Kind: steering.OpeningRejected, Verdict: steering.Overloaded, Sequence: 100})[0].Reason)
+	require.Equal(t, steering.Reset, b.handlePacket(openingPacket(2))[0].Kind)
+	packet := openingPacket(3)
+	packet.Flow.Virtual = urgent.Virtual
+	require.Equal(t, steering.Forward, b.handlePacket(packet)[0].Kind)
+}
+
+// Queued openings must be retried in the order of their priority, and those of callers
+// that have waited for longest first.
+func TestQueuedOpeningsAreRetriedByPriority(t *testing.T) {
+	b := newBalancerHarness(t, newUpstream(1, orders, ownZone, view.Starting))
+	desired := newDesired(2, intent.WeightedService{Service: orders, Weight: 1})
+	desired.Routes[0].Priority = 2
+	urgent := desired.Routes[0]
+	urgent.Virtual, urgent.Priority = virtualOf(8080), 1
+	desired.Routes = append(desired.Routes, urgent)
+	b.SetDesired(desired)
+	for port := uint16(1); port <= 4; port++ {
+		packet := openingPacket(port)
+		packet.Ack = uint32(port % 2) // The index of the copy of the opening.
+		if port > 2 {
+			packet.Flow.Virtual = urgent.Virtual
+		}
+		require.Equal(t, steering.OpeningQueued, b.handlePacket(packet)[0].Kind)
+	}
+	b.SetUpstreams([]steering.Upstream{newUpstream(1, orders, ownZone, view.Ready)}, true)
+	b.RetryPending(b.now, false, &b.actions)
+	var ports []uint16
+	for _, action := range b.takeActions() {
+		ports = append(ports, action.Flow.Caller.Port())
+	}
+	require.Equal(t, []uint16{3, 4, 1, 2}, ports)
+}
+
+func virtualOf(port uint16) netip.AddrPort { return netip.AddrPortFrom(virtual.Addr(), port) }
--- a/internal/steering/agent_expiry.go
+++ b/internal/steering/agent_expiry.go
@@ -103,6 +103,6 @@
 }
 
 func (a *Agent) removeFlow(key flow.Key, held *heldFlow) {
-	a.stageCounts[held.stage]--
+	a.countStage(held, -1)
 	delete(a.flows, key)
 }
--- a/internal/steering/agent_opening.go
+++ b/internal/steering/agent_opening.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"bramleyhold.example/bramleyhold/internal/admission"
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/view"
 )
@@ -42,7 +43,9 @@
 		a.nextAbandonedCheck = now.Add(abandonedRequestCheckInterval)
 		a.dropAbandonedRequests(now)
 	}
-	if verdict := a.rejectionVerdict(now, header); verdict != 0 {
+	verdict := a.rejectionVerdict(now, header)
+	a.recordAdmission(now, &header, verdict)
+	if verdict != 0 {
 		a.sendRejection(packet, balancer, verdict, actions)
 		return
 	}
@@ -50,8 +53,9 @@
 		a.removeFlow(packet.Flow, held)
 	}
 	a.makeRoom(now)
-	held = &heldFlow{incarnation: a.upstream.Incarnation, balancer: balancer, openingSequence: packet.Sequence, timeBudget: header.TimeBudget, openedAt: now, lastPacketAt: now}
-	a.stageCounts[stageIdle]++
+	held = &heldFlow{incarnation: a.upstream.Incarnation, balancer: balancer, openingSequence: packet.Sequence, timeBudget: header.TimeBudget, level: admission.Lowest, openedAt: now, lastPacketAt: now}
+	a.countStage(held, 1)
+	a.setClass(held, &header)
 	a.setStage(held, stageAwaitingRequest)
 	a.flows[packet.Flow] = held
 	a.pendingOpenings = append(a.pendingOpenings, pendingOpening{key: packet.Flow, sequence: packet.Sequence, deliveredAt: now})
@@ -70,12 +74,22 @@
 	case now.Before(a.rejectOpeningsUntil) && !header.LastAttempt:
 		return NoResponse
 	}
-	return a.admissionVerdict(header)
+	return a.admissionVerdict(now, header)
 }
 
 // admissionVerdict returns the cause for which the load of the upstream does not allow
 // an opening, or 0.
-func (a *Agent) admissionVerdict(header ForwardingHeader) Verdict {
+func (a *Agent) admissionVerdict(now time.Time, header ForwardingHeader) Verdict {
+	opening := admission.Opening{Class: header.Class, ClassKnown: header.ClassKnown, LastAttempt: header.LastAttempt, TimeBudget: header.TimeBudget}
+	switch a.classes.Decide(now, opening, a.currentLoad()) {
+	case admission.Admit:
+		return 0
+	case admission.Busy:
+		return Busy
+	case admission.Overloaded:
+		return Overloaded
+	case admission.ByLoad:
+	}
 	switch {
 	case !header.LastAttempt && a.requestsInProgress() >= a.upstream.Slots:
 		return Busy
--- a/internal/steering/agent_upstream.go
+++ b/internal/steering/agent_upstream.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"bramleyhold.example/bramleyhold/internal/admission"
 )
 
 // HandleUpstreamPacket handles a packet that the upstream sent or returned.
@@ -30,9 +32,9 @@
 		return nil
 	}
 	a.makeRoom(now)
-	held := &heldFlow{incarnation: a.upstream.Incarnation, accepted: true, established: true, callerAck: packet.Sequence, openedAt: now, lastPacketAt: now}
+	held := &heldFlow{incarnation: a.upstream.Incarnation, accepted: true, established: true, callerAck: packet.Sequence, level: admission.Lowest, openedAt: now, lastPacketAt: now}
 	a.flows[packet.Flow] = held
-	a.stageCounts[stageIdle]++
+	a.countStage(held, 1)
 	a.scheduleSweep(now)
 	if wasUnconfirmed {
 		held.balancer = unconfirmed.balancer
@@ -52,10 +54,14 @@
 	if packet.Payload > 0 && held.stage == stageInProgress && held.measureServiceTime {
 		a.serviceTime.addSample(now.Sub(held.requestStartedAt))
 	}
+	wasInProgress, slotWasFree := held.stage == stageInProgress, held.measureServiceTime
 	if packet.Payload > 0 || packet.Flags&(FIN|RST) != 0 {
 		held.measureServiceTime = false
 		a.setStage(held, stageIdle)
 	}
+	if wasInProgress && held.stage != stageInProgress {
+		a.observeAnswer(now, held, packet, slotWasFree)
+	}
 	if packet.Flags.Has(RST) || (packet.Flags.Has(FIN) && held.callerFinished) {
 		held.finished = true
 	}
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/time/rate"
 
+	"bramleyhold.example/bramleyhold/internal/admission"
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/service"
@@ -62,6 +63,8 @@
 	upstreams      map[netip.Addr]*upstreamState
 	serviceMembers map[service.Name][]*upstreamState
 	flows          map[flow.Key]*flowEntry
+	// lowestLevels has the lowest level of each service whose routes differ in priority.
+	lowestLevels map[service.Name]admission.Level
 	// timers has the timeouts of flows in the order in which they were set. A timer
 	// is obsolete if the deadline of its flow has changed.
 	timers    []flowTimer
@@ -129,7 +132,7 @@
 			b.removedRoutes[virtual] = true
 		}
 	}
-	b.desired, b.routes = desired, routes
+	b.desired, b.routes, b.lowestLevels = desired, routes, lowestLevels(desired.Routes)
 	return true
 }
 
--- a/internal/steering/balancer_opening.go
+++ b/internal/steering/balancer_opening.go
@@ -118,10 +118,8 @@
 func (b *Balancer) RetryPending(now time.Time, directoryCompleted bool, actions *[]Action) {
 	first := len(*actions)
 	defer func() { b.scheduleEgress(now, first, actions) }()
-	for _, entry := range b.flows {
-		if entry.state == stateOpeningQueued {
-			b.retryQueuedOpening(now, entry, actions)
-		}
+	for _, entry := range b.queuedOpenings(now) {
+		b.retryQueuedOpening(now, entry, actions)
 	}
 	if directoryCompleted {
 		b.retryFailedLookups(now, actions)
@@ -154,12 +152,12 @@
 	case NotAccepting, OtherService, StatusUnknown, NoResponse, Refused:
 		upstream.avoidUntil = now.Add(rejectedAvoidTime)
 	case Overloaded:
-		upstream.overloadedUntil = now.Add(overloadedAvoidTime)
+		b.avoidOverloaded(now, entry, upstream)
 	}
 	if entry.state != stateOpeningUnconfirmed || entry.upstream != upstream || entry.openingSequence != message.Sequence || len(entry.acceptances) > 0 {
 		return
 	}
-	if route := b.routes[entry.key.Virtual]; message.Verdict == Overloaded && (route == nil || entry.callerWait(now) > route.Objective/placementTimeDivisor) {
+	if message.Verdict == Overloaded && !b.triesFurther(now, entry) {
 		b.refuseOpening(entry, AllOverloaded, actions)
 		return
 	}
--- a/internal/steering/exclusion.go
+++ b/internal/steering/exclusion.go
@@ -26,7 +26,7 @@
 	switch {
 	case !upstream.AcceptsOpenings():
 		return excludedStatus
-	case now.Before(upstream.overloadedUntil):
+	case now.Before(upstream.overloadedUntil[b.levelOf(entry)]):
 		return excludedOverloaded
 	case slices.Contains(entry.attemptedAgents, upstream.Address.Addr()):
 		return excludedAttempted
--- a/internal/steering/held_flow.go
+++ b/internal/steering/held_flow.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"time"
 
+	"bramleyhold.example/bramleyhold/internal/admission"
+	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/vm"
 )
 
@@ -41,6 +43,17 @@
 	established    bool
 	stage          requestStage
 	callerFinished bool
+	// class is the class of the route, if classKnown is set. level is that of the class.
+	class      intent.Class
+	classKnown bool
+	level      admission.Level
+	// requestSequence is the sequence number of the packet that started the last request,
+	// if requestSeen is set.
+	requestSequence uint32
+	requestSeen     bool
+	// requestsFound is the number of requests that the upstream had when the last request
+	// was delivered.
+	requestsFound int
 	// callerAck is the last acknowledgement number of the caller.
 	callerAck uint32
 	// upstreamExited is set if the process that held the flow has exited.
@@ -61,9 +74,9 @@
 
 // setStage changes the request stage of a flow and the counts of both stages.
 func (a *Agent) setStage(held *heldFlow, next requestStage) {
-	a.stageCounts[held.stage]--
-	a.stageCounts[next]++
+	a.countStage(held, -1)
 	held.stage = next
+	a.countStage(held, 1)
 }
 
 // requestsInProgress returns the number of requests that the upstream has in
@@ -73,3 +86,25 @@
 func (a *Agent) requestsInProgress() int {
 	return a.stageCounts[stageInProgress] + a.stageCounts[stageAwaitingRequest]/2
 }
+
+// countStage adds a number to the counts of the stage of a flow.
+func (a *Agent) countStage(held *heldFlow, delta int) {
+	a.stageCounts[held.stage] += delta
+	switch held.stage {
+	case stageInProgress:
+		a.classLoad.InProgress[held.level] += delta
+	case stageAwaitingRequest:
+		a.classLoad.Awaited[held.level] += delta
+	case stageIdle, stageCount:
+	}
+}
+
+// setClass stores the class that a forwarding header has.
+func (a *Agent) setClass(held *heldFlow, header *ForwardingHeader) {
+	if !header.ClassKnown || (held.classKnown && held.class == header.Class) {
+		return
+	}
+	a.countStage(held, -1)
+	held.class, held.classKnown, held.level = header.Class, true, admission.LevelOf(header.Class)
+	a.countStage(held, 1)
+}
--- a/internal/steering/upstream_state.go
+++ b/internal/steering/upstream_state.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"bramleyhold.example/bramleyhold/internal/admission"
 	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/view"
 )
@@ -44,8 +45,9 @@
 	avoidUntil time.Time
 	// lookupUnresponsiveUntil is set after its agent has not responded to a lookup.
 	lookupUnresponsiveUntil time.Time
-	// overloadedUntil is set after it has rejected an opening as overloaded.
-	overloadedUntil time.Time
+	// overloadedUntil is set for each level after it has rejected an opening of that level
+	// as overloaded.
+	overloadedUntil [admission.Levels]time.Time
 }
 
 // updateReport stores the load report that every message of an agent has.
