admission: the lowest class waits for urgent requests on open flows

Callers: urgent requests waited behind the queue that open flows of the feed keep full, or were rejected by the upstream.

Openings that cannot be answered in time are rejected as overloaded at the first attempt already, also those of a class that was not admitted for a while.

--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -25,15 +25,23 @@
 type Load struct {
 	// Limit is the number of requests that the upstream takes well at once.
 	Limit int
-	// InProgress counts the requests that were delivered and are not answered, and Awaited
-	// the new flows whose first request has not arrived.
-	InProgress, Awaited [Levels]int
+	// InProgress counts the requests that were delivered and are not answered, Deferred
+	// those that wait beside the upstream, and Awaited the new flows whose first request
+	// has not arrived.
+	InProgress, Deferred, Awaited [Levels]int
 }
 
-// ahead returns the number of requests that are served before a new one. An awaited
-// request counts half: while it is on its way, as many of those in progress end.
-func (l *Load) ahead() int {
-	return sum(&l.InProgress, Lowest) + sum(&l.Awaited, Lowest)/2
+// ahead returns the number of requests that are served before a new one of a level: those
+// at the upstream, and those of the same or a higher level beside it. An awaited request
+// counts half: while it is on its way, as many of those in progress end.
+func (l *Load) ahead(level Level) int {
+	return sum(&l.InProgress, Lowest) + sum(&l.Deferred, level) + sum(&l.Awaited, Lowest)/2
+}
+
+// placesUsed returns the number of places at the upstream that are in use or needed by
+// requests that go before a new one of a level.
+func (l *Load) placesUsed(level Level) int {
+	return sum(&l.InProgress, Lowest) + sum(&l.Deferred, level) + sum(&l.Awaited, level)
 }
 
 // expectedTime returns the time until a request is answered that has the given number of
@@ -48,7 +56,7 @@
 	if level == 0 {
 		return 0
 	}
-	return sum(&l.InProgress, level-1) + sum(&l.Awaited, level-1)
+	return sum(&l.InProgress, level-1) + sum(&l.Deferred, level-1) + sum(&l.Awaited, level-1)
 }
 
 // sum adds the counts of the levels up to and including the given one.
--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -15,10 +15,17 @@
 	// multiple of the service time. Service times vary; with this margin most requests are
 	// answered within their time budget.
 	serviceTimesNeeded = 1.5
-	// lowestBudgetShare is the share of its time budget that an opening of the lowest level
-	// in use may take. Requests on open flows cannot be rejected and need the rest. An
-	// opening of a higher level, before which they give way, may take all of it.
+	// lowestBudgetShare is the share of its time budget that the answer to an opening of the
+	// lowest level in use may take. Requests on open flows cannot be rejected and need the
+	// rest.
 	lowestBudgetShare = 0.5
+	// precedenceBudgetShare is the share for the other levels. The rest is for the search
+	// for an upstream and for the way of the request and of the answer.
+	precedenceBudgetShare = 0.8
+	// windowShare is the share of the time budget of a higher level within which a request
+	// of it must be expected to be answered behind those of the lowest level that were
+	// delivered. Further ones are deferred.
+	windowShare = 0.5
 )
 
 // Opening is a new flow on which a request is expected.
@@ -52,6 +59,9 @@
 	levels      [Levels]levelHistory
 	serviceTime ServiceTime
 	places      Places
+	// window is how long the answer to a request may take that arrives behind those of the
+	// lowest level.
+	window time.Duration
 }
 
 // levelHistory is what has been seen of a level.
@@ -106,34 +116,41 @@
 func (p *Policy) Decide(now time.Time, opening Opening, load *Load) Decision {
 	level := LevelOf(opening.Class)
 	above, below := p.neighbours(now, level)
-	if !opening.ClassKnown || !(above || below) || (!below && p.isStarved(now, level, opening.TimeBudget)) {
+	if !opening.ClassKnown || !(above || below) {
 		return ByLoad
 	}
-	occupied := load.ahead() + p.Headroom(now, level, load)
-	budget := opening.TimeBudget
-	if !below {
+	occupied, budget := load.ahead(level), share(precedenceBudgetShare, opening.TimeBudget)
+	if below {
+		p.window = share(windowShare, opening.TimeBudget)
+	} else {
+		budget = share(lowestBudgetShare, opening.TimeBudget)
+	}
+	if !below && !p.isStarved(now, level, opening.TimeBudget) {
 		if p.committed(now, level) >= float64(load.Limit) {
 			// Another flow would make the requests of all open flows late.
 			return Overloaded
 		}
-		budget = time.Duration(lowestBudgetShare * float64(budget))
+		occupied += p.Headroom(now, level, load)
 	}
 	switch {
-	case p.places.AreTaken(now, load.ahead()):
+	case p.places.AreTaken(now, load.placesUsed(level)):
 		return Overloaded
 	case occupied < load.Limit:
 		return Admit
-	case !opening.LastAttempt:
-		return Busy
 	case load.expectedTime(occupied, p.ServiceTime()) > budget:
 		return Overloaded
+	case !opening.LastAttempt:
+		return Busy
 	}
 	return Admit
 }
 
+func share(part float64, of time.Duration) time.Duration {
+	return time.Duration(part * float64(of))
+}
+
 // isStarved reports whether no opening of a level was admitted for longer than its
-// callers can wait. One opening is then weighed
-// as if no other level were in use.
+// callers can wait. One opening is then admitted by its expected time alone.
 func (p *Policy) isStarved(now time.Time, level Level, timeBudget time.Duration) bool {
 	return now.Sub(p.levels[level].lastAdmittedAt) > timeBudget
 }
--- a/internal/fabric/admission_report.go
+++ b/internal/fabric/admission_report.go
@@ -52,6 +52,7 @@
 			{"admitted", counts.Admitted - previous.Admitted},
 			{"busy", counts.Busy - previous.Busy},
 			{"overloaded", counts.Overloaded - previous.Overloaded},
+			{"deferred", counts.Deferred - previous.Deferred},
 		} {
 			if counted.delta == 0 {
 				continue
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -74,9 +74,12 @@
 	stageCounts [stageCount]int
 	// classes decides which class gets scarce room. classLoad counts the requests by
 	// class, admissions the decisions.
-	classes     admission.Policy
-	classLoad   admission.Load
-	admissions  [admission.Levels]AdmissionCounts
+	classes    admission.Policy
+	classLoad  admission.Load
+	admissions [admission.Levels]AdmissionCounts
+	// deferred lists the requests that wait for a place at the upstream, in the order of
+	// their arrival.
+	deferred    []*deferredRequest
 	serviceTime serviceTimeEstimator
 	nextSweep   time.Time
 }
@@ -128,6 +131,9 @@
 	}
 	held.balancer, held.lastPacketAt = balancer, now
 	a.setClass(held, &header)
+	if a.deferPacket(now, held, packet, data, actions) {
+		return
+	}
 	a.trackCallerPacket(now, held, packet)
 	*actions = append(*actions, Action{Kind: Deliver, Reason: KnownFlow, Flow: packet.Flow, Data: data})
 }
--- a/internal/steering/agent_class.go
+++ b/internal/steering/agent_class.go
@@ -8,8 +8,8 @@
 
 // AdmissionCounts counts the decisions about the requests of one priority.
 type AdmissionCounts struct {
-	// Admitted, Busy and Overloaded count openings.
-	Admitted, Busy, Overloaded uint64
+	// Admitted, Busy and Overloaded count openings, Deferred requests on open flows.
+	Admitted, Busy, Overloaded, Deferred uint64
 	// Answered counts the requests that were answered, Rejected those that the upstream has
 	// rejected because it was full. AnswerTime is the sum of the times from the delivery of
 	// requests to their answers.
--- a/internal/steering/agent_class_test.go
+++ b/internal/steering/agent_class_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bramleyhold.example/bramleyhold/internal/admission"
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/steering"
 	"bramleyhold.example/bramleyhold/internal/view"
@@ -95,3 +96,47 @@
 }
 
 func virtualOf(port uint16) netip.AddrPort { return netip.AddrPortFrom(virtual.Addr(), port) }
+
+// A deferred request must be delivered when the upstream has a place or after
+// admission.MaxDeferral, and not at all if its caller has given up. Copies of it must not
+// be delivered.
+func TestDeferredRequestIsDelivered(t *testing.T) {
+	a := newReadyAgent(t)
+	a.handleCallerPacket(openingPacket(90), headerOf(1)) // The urgent class is in use.
+	a.handleUpstreamPacket(upstreamPacket(90, steering.SYN|steering.ACK, 0))
+	a.handleUpstreamPacket(upstreamPacket(90, steering.RST, 0))
+	for port := uint16(1); port <= 5; port++ {
+		header := headerOf(2)
+		header.LastAttempt = true
+		require.Equal(t, steering.Deliver, a.handleCallerPacket(openingPacket(port), header)[0].Kind)
+		a.handleUpstreamPacket(upstreamPacket(port, steering.SYN|steering.ACK, 0))
+	}
+	send := func(port uint16, flags steering.Flags) []steering.Action {
+		packet := callerPacket(port, 10)
+		packet.Flags |= flags
+		return a.handleCallerPacket(packet, headerOf(2))
+	}
+	for port := uint16(1); port <= 2; port++ {
+		require.Equal(t, steering.KnownFlow, send(port, 0)[0].Reason, "a slot is free")
+	}
+	require.Empty(t, send(3, 0))
+	require.Equal(t, steering.Drop, send(3, 0)[0].Kind, "a copy")
+	require.Empty(t, send(4, 0))
+	require.Empty(t, send(5, 0))
+	require.Equal(t, steering.Deliver, send(4, steering.RST)[0].Kind, "the caller gives up")
+
+	a.now = a.now.Add(30 * time.Millisecond)
+	actions := a.handleUpstreamPacket(upstreamPacket(1, steering.ACK, 10))
+	require.Len(t, actions, 2)
+	require.Equal(t, flowKey(3), actions[1].Flow)
+	require.Equal(t, steering.Deferred, actions[1].Reason)
+
+	require.Equal(t, start.Add(admission.MaxDeferral), a.Deadline())
+	a.now = a.Deadline()
+	a.Tick(a.now, &a.actions)
+	actions = a.takeActions()
+	require.Len(t, actions, 1)
+	require.Equal(t, flowKey(5), actions[0].Flow)
+	inProgress, _ := a.Load()
+	require.Equal(t, 3, inProgress)
+}
--- a/internal/steering/agent_expiry.go
+++ b/internal/steering/agent_expiry.go
@@ -7,7 +7,7 @@
 )
 
 // Tick rejects openings that the upstream has not answered in time, and removes
-// expired flows.
+// expired flows. It delivers deferred requests that have waited for long enough.
 func (a *Agent) Tick(now time.Time, actions *[]Action) {
 	for len(a.pendingOpenings) > 0 && now.Sub(a.pendingOpenings[0].deliveredAt) >= upstreamAnswerTimeout {
 		pending := a.pendingOpenings[0]
@@ -17,6 +17,7 @@
 	if !a.nextSweep.IsZero() && !now.Before(a.nextSweep) {
 		a.removeExpired(now)
 	}
+	a.releaseDeferred(now, actions)
 }
 
 // rejectUnanswered rejects an opening that the upstream has not answered in time.
@@ -57,6 +58,9 @@
 		}
 		break
 	}
+	if releaseAt := a.deferralDeadline(); !releaseAt.IsZero() && (next.IsZero() || releaseAt.Before(next)) {
+		next = releaseAt
+	}
 	return next
 }
 
@@ -71,7 +75,7 @@
 func (a *Agent) dropAbandonedRequests(now time.Time) {
 	for _, held := range a.flows {
 		idle := now.Sub(held.lastPacketAt)
-		if (held.stage == stageInProgress && idle > max(abandonedRequestTimeout, held.timeBudget)) || (held.stage == stageAwaitingRequest && idle > firstRequestTimeout) {
+		if ((held.stage == stageInProgress || held.stage == stageDeferred) && idle > max(abandonedRequestTimeout, held.timeBudget)) || (held.stage == stageAwaitingRequest && idle > firstRequestTimeout) {
 			a.setStage(held, stageIdle)
 		}
 	}
--- a/internal/steering/agent_upstream.go
+++ b/internal/steering/agent_upstream.go
@@ -20,6 +20,7 @@
 		a.trackUpstreamPacket(now, held, packet, actions)
 	}
 	*actions = append(*actions, Action{Kind: Reply, Reason: UpstreamReplied, Flow: packet.Flow, Data: data})
+	a.releaseDeferred(now, actions)
 }
 
 // adoptFlow adds a flow that is missing from the table because this agent restarted
--- a/internal/steering/held_flow.go
+++ b/internal/steering/held_flow.go
@@ -26,6 +26,8 @@
 	stageAwaitingRequest
 	// stageInProgress: the upstream works on a request or has queued it.
 	stageInProgress
+	// stageDeferred: the request waits in this agent for a place at the upstream.
+	stageDeferred
 	stageCount
 )
 
@@ -51,6 +53,8 @@
 	// if requestSeen is set.
 	requestSequence uint32
 	requestSeen     bool
+	// deferred is set while the current request is deferred.
+	deferred *deferredRequest
 	// requestsFound is the number of requests that the upstream had when the last request
 	// was delivered.
 	requestsFound int
@@ -84,7 +88,7 @@
 // request arrives after a round trip, and in that time as many of the requests in
 // progress end.
 func (a *Agent) requestsInProgress() int {
-	return a.stageCounts[stageInProgress] + a.stageCounts[stageAwaitingRequest]/2
+	return a.stageCounts[stageInProgress] + a.stageCounts[stageDeferred] + a.stageCounts[stageAwaitingRequest]/2
 }
 
 // countStage adds a number to the counts of the stage of a flow.
@@ -93,6 +97,8 @@
 	switch held.stage {
 	case stageInProgress:
 		a.classLoad.InProgress[held.level] += delta
+	case stageDeferred:
+		a.classLoad.Deferred[held.level] += delta
 	case stageAwaitingRequest:
 		a.classLoad.Awaited[held.level] += delta
 	case stageIdle, stageCount:
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -117,6 +117,9 @@
 	// NotReady: the opening is rejected. Its verdict has the cause.
 	NotReady Reason = "not_ready"
 	NotHeld  Reason = "not_held"
+	// Deferred: a packet of an open flow was delivered after it had waited in the agent for
+	// a place at the upstream, or is a copy of one that waits.
+	Deferred Reason = "deferred"
 	// LookupQueueFull and BufferFull: a packet is dropped because a limit on lookups or
 	// on buffered packets is reached.
 	LookupQueueFull Reason = "search_limit"
