steering: packets leave a full link by class

Callers: on a full link, packets of the class that gives way and openings delayed packets of urgent requests and of open flows.

Change: among packets that are not bulk data, those of open flows go before openings, and both by priority, where the routes of a service differ in priority. The log line of agents about scarce room is written for overloaded, deferred and rejected requests only, not for busy slots.

Figures: the test fails without the rank (packets leave as they arrived) and passes with it.

--- a/internal/fabric/admission_report.go
+++ b/internal/fabric/admission_report.go
@@ -20,8 +20,8 @@
 	nextAt   time.Time
 }
 
-// reportAdmissions updates the metrics of admission by class. It writes a log line if
-// openings were rejected since the last one. It is called with the lock held.
+// reportAdmissions updates the metrics of admission by class. It writes a log line if the
+// room of the upstream did not suffice since the last one. It is called with the lock held.
 func (a *Agent) reportAdmissions(now time.Time) {
 	report := &a.admissions
 	if now.Before(report.nextAt) {
@@ -42,28 +42,29 @@
 		name := fmt.Sprintf("priority%d.", level)
 		if answered := counts.Answered - previous.Answered; answered > 0 {
 			fields[name+"answered"] = answered
-			fields[name+"rejected"] = counts.Rejected - previous.Rejected
 			fields[name+"answer_ms"] = (counts.AnswerTime - previous.AnswerTime).Milliseconds() / int64(answered)
 		}
 		for _, counted := range [...]struct {
-			name  string
-			delta uint64
+			name   string
+			delta  uint64
+			scarce bool
 		}{
-			{"admitted", counts.Admitted - previous.Admitted},
-			{"busy", counts.Busy - previous.Busy},
-			{"overloaded", counts.Overloaded - previous.Overloaded},
-			{"deferred", counts.Deferred - previous.Deferred},
+			{"admitted", counts.Admitted - previous.Admitted, false},
+			{"busy", counts.Busy - previous.Busy, false},
+			{"overloaded", counts.Overloaded - previous.Overloaded, true},
+			{"deferred", counts.Deferred - previous.Deferred, true},
+			{"rejected", counts.Rejected - previous.Rejected, true},
 		} {
 			if counted.delta == 0 {
 				continue
 			}
-			scarce = scarce || counted.name != "admitted"
+			scarce = scarce || counted.scarce
 			fields[name+counted.name] = counted.delta
 			metrics.GetOrRegisterCounter("admission."+name+counted.name, a.Registry).Inc(int64(counted.delta))
 		}
 	}
 	report.previous = status.Counts
 	if scarce {
-		a.Log.WithFields(fields).Info("openings rejected by class")
+		a.Log.WithFields(fields).Info("room is scarce")
 	}
 }
--- a/internal/steering/agent_class_test.go
+++ b/internal/steering/agent_class_test.go
@@ -140,3 +140,54 @@
 	inProgress, _ := a.Load()
 	require.Equal(t, 3, inProgress)
 }
+
+// On a full link, packets must leave by class, and openings after packets of open flows.
+// Where the routes of a service have one priority, they must leave as they arrived.
+func TestPacketsLeaveByClass(t *testing.T) {
+	for _, test := range []struct {
+		urgentPriority int
+		want           []uint16
+	}{{1, []uint16{4, 2, 3, 1}}, {2, []uint16{1, 2, 3, 4}}} {
+		h := newLinkHarness(t, 100_000)
+		desired := newDesired(2, intent.WeightedService{Service: orders, Weight: 1})
+		desired.Routes[0].Priority, desired.Routes[0].Virtual = 2, virtualOf(smallPort)
+		desired.Routes = append(desired.Routes, desired.Routes[0])
+		desired.Routes[1].Priority, desired.Routes[1].Virtual = test.urgentPriority, virtualOf(uploadPort)
+		h.SetDesired(desired)
+		send := func(port, virtualPort uint16, opening bool) {
+			packet := callerPacket(port, 100)
+			if opening {
+				packet = openingPacket(port)
+			}
+			packet.Flow.Virtual = virtualOf(virtualPort)
+			h.HandlePacket(h.now, packet, make([]byte, 600), &h.actions)
+		}
+		open := func(port, virtualPort uint16) {
+			send(port, virtualPort, true)
+			message := steering.Message{Kind: steering.OpeningAccepted, Flow: openingPacket(port).Flow, Sequence: answerSequence}
+			message.Flow.Virtual = virtualOf(virtualPort)
+			h.HandleMessage(h.now, agentAddress(1), &message, &h.actions)
+			h.now = h.now.Add(200 * time.Millisecond)
+			h.Tick(h.now, &h.actions)
+		}
+		open(2, smallPort)
+		open(4, uploadPort)
+		h.takeActions()
+		send(2, smallPort, false) // Takes the link for 53 ms.
+		require.Len(t, h.takeActions(), 1)
+		send(1, smallPort, true)
+		send(2, smallPort, false)
+		send(3, uploadPort, true)
+		send(4, uploadPort, false)
+		require.Empty(t, h.takeActions())
+		var left []uint16
+		for len(left) < len(test.want) {
+			for _, action := range h.advanceToDeadline() {
+				if action.Kind == steering.Forward {
+					left = append(left, action.Flow.Caller.Port())
+				}
+			}
+		}
+		require.Equal(t, test.want, left)
+	}
+}
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -149,7 +149,7 @@
 	b.egress.schedule(now, first, actions, func(action *Action) egressClass {
 		route, entry := b.routes[action.Flow.Virtual], b.flows[action.Flow]
 		if action.Kind != Forward || len(action.Data) < minBulkPacketBytes || entry == nil || route == nil || route.Kind != intent.Upload {
-			return egressClass{}
+			return egressClass{rank: b.egressRank(action, route)}
 		}
 		b.uploads.countPacket(now, action.Flow, linkBytes(action))
 		return egressClass{bulk: true, openedAt: entry.createdAt}
--- a/internal/steering/balancer_class.go
+++ b/internal/steering/balancer_class.go
@@ -82,6 +82,25 @@
 	return queued
 }
 
+// egressRank returns the rank of a packet on the link: packets of open flows before
+// openings, and both by level. Packets of services without several levels have the rank of
+// the highest one.
+func (b *Balancer) egressRank(action *Action, route *intent.Route) int {
+	if action.Kind != Forward || route == nil || !slices.ContainsFunc(route.Backends, b.hasSeveralLevels) {
+		return 0
+	}
+	rank := int(admission.LevelOf(route.Class()))
+	if action.Reason == Placed || action.Reason == PlacedOnRetry {
+		rank += admission.Levels
+	}
+	return rank
+}
+
+func (b *Balancer) hasSeveralLevels(backend intent.WeightedService) bool {
+	_, several := b.lowestLevels[backend.Service]
+	return several
+}
+
 // lowestLevels returns the lowest level of each service whose routes differ in level.
 func lowestLevels(routes []intent.Route) map[service.Name]admission.Level {
 	lowest, several := map[service.Name]admission.Level{}, map[service.Name]admission.Level{}
--- a/internal/steering/egress.go
+++ b/internal/steering/egress.go
@@ -44,9 +44,9 @@
 // delayed its sender by 200 ms or more.
 //
 // Packets wait here until the link has room: urgent packets first, then messages, of
-// which a lookup at 140 agents takes 80 ms of the link, then bulk packets. Among bulk
-// packets, those of the flow that was opened first are sent first, so that uploads
-// complete one after the other instead of all late.
+// which a lookup at 140 agents takes 80 ms of the link, then bulk packets. Urgent packets
+// are sent by rank. Among bulk packets, those of the flow that was opened first are sent
+// first, so that uploads complete one after the other instead of all late.
 type egressScheduler struct {
 	// bytesPerSecond is the rate of the link, or zero if it is unknown. Nothing is held
 	// then.
@@ -64,6 +64,7 @@
 type heldAction struct {
 	Action
 	heldAt time.Time
+	rank   int
 }
 
 // bulkQueue has the held bulk packets of one flow.
@@ -79,6 +80,8 @@
 	// was opened.
 	bulk     bool
 	openedAt time.Time
+	// rank orders packets that are not bulk: lower ones go first.
+	rank int
 }
 
 func newEgressScheduler(bitsPerSecond float64) egressScheduler {
@@ -160,7 +163,7 @@
 	case kind == SendMessage:
 		return len(e.urgent)+len(e.messages) == 0 && e.backlog(now) < maxBulkBacklog
 	}
-	return len(e.urgent) == 0 && e.backlog(now) < maxUrgentBacklog
+	return (len(e.urgent) == 0 || class.rank < e.urgent[0].rank) && e.backlog(now) < maxUrgentBacklog
 }
 
 // hold holds an action. A copy of a bulk packet that is held already is not needed: its
@@ -176,13 +179,14 @@
 	}
 	e.held++
 	// The data is valid only until the next call of a method of the balancer.
-	held := heldAction{Action: *action, heldAt: now}
+	held := heldAction{Action: *action, heldAt: now, rank: class.rank}
 	held.Data = slices.Clone(action.Data)
 	switch {
 	case action.Kind == SendMessage:
 		e.messages = append(e.messages, held)
 	case !class.bulk:
-		e.urgent = append(e.urgent, held)
+		after, _ := slices.BinarySearchFunc(e.urgent, class.rank+1, func(h heldAction, rank int) int { return h.rank - rank })
+		e.urgent = slices.Insert(e.urgent, after, held)
 	case index < 0:
 		e.bulk = append(e.bulk, bulkQueue{key: action.Flow, openedAt: class.openedAt, packets: []heldAction{held}})
 	default:
