--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -116,7 +116,7 @@
 func (p *Policy) Decide(now time.Time, opening Opening, load *Load) Decision {
 	level := LevelOf(opening.Class)
 	above, below := p.neighbours(now, level)
-	if !opening.ClassKnown || !(above || below) {
+	if !opening.ClassKnown || (!above && !below) {
 		return ByLoad
 	}
 	occupied, budget := load.ahead(level), share(precedenceBudgetShare, opening.TimeBudget)
