--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -40,6 +40,7 @@
 	outboundConn *net.UDPConn
 	// actionCounters counts actions by kind and reason.
 	actionCounters actionCounters
+	admissions     admissionReport
 	stopping       bool
 	// rejections counts rejected openings by verdict.
 	rejections rejectionCounters
@@ -74,6 +75,7 @@
 		a.setGauge("requests", requests)
 		a.updateAwaitsTerms(now, false)
 		a.reportWarmUp(now)
+		a.reportAdmissions(now)
 	}
 	shared.nextDeadline = a.core.Deadline
 	a.execute = a.executeAction
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"bramleyhold.example/bramleyhold/internal/admission"
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/warmup"
@@ -82,6 +83,14 @@
 	pendingOpenings []pendingOpening
 	// stageCounts is the number of flows in each request stage.
 	stageCounts [stageCount]int
+	// classes decides which class gets scarce room. classLoad counts the requests by
+	// class, admissions the decisions.
+	classes    admission.Policy
+	classLoad  admission.Load
+	admissions [admission.Levels]AdmissionCounts
+	// deferred lists the requests that wait for a place at the upstream, in the order of
+	// their arrival.
+	deferred    []*deferredRequest
 	serviceTime serviceTimeEstimator
 	nextSweep   time.Time
 	// terms are the latest ones received. They are valid if termsKnown is set.
@@ -147,6 +156,10 @@
 		held.established = true
 	}
 	held.balancer, held.lastPacketAt = balancer, now
+	a.setClass(held, &header)
+	if a.deferPacket(now, held, packet, data, actions) {
+		return
+	}
 	a.trackCallerPacket(now, held, packet)
 	*actions = append(*actions, Action{Kind: Deliver, Reason: KnownFlow, Flow: packet.Flow, Data: data})
 }
@@ -158,12 +171,8 @@
 	case packet.Flags.Has(RST):
 		a.setStage(held, stageIdle)
 		held.finished = true
-	case packet.Payload > 0 && held.stage != stageInProgress:
-		if held.stage != stageAwaitingRequest {
-			a.warmUp.RecordRequest(now)
-		}
-		held.requestStartedAt, held.measureServiceTime = now, a.stageCounts[stageInProgress] < a.upstream.Slots
-		a.setStage(held, stageInProgress)
+	case packet.Payload > 0 && held.stage != stageInProgress && !held.hasSeen(packet.Sequence):
+		a.startRequest(now, held, packet.Sequence)
 	}
 	if packet.Flags.Has(FIN) {
 		held.callerFinished = true
--- a/internal/steering/agent_expiry.go
+++ b/internal/steering/agent_expiry.go
@@ -7,7 +7,7 @@
 )
 
 // Tick rejects openings that the upstream has not answered in time, and removes
-// expired flows.
+// expired flows. It delivers deferred requests that have waited for long enough.
 func (a *Agent) Tick(now time.Time, actions *[]Action) {
 	a.noteCall(now)
 	for len(a.pendingOpenings) > 0 && now.Sub(a.pendingOpenings[0].deliveredAt) >= upstreamAnswerTimeout {
@@ -18,6 +18,7 @@
 	if !a.nextSweep.IsZero() && !now.Before(a.nextSweep) {
 		a.removeExpired(now)
 	}
+	a.releaseDeferred(now, actions)
 }
 
 // rejectUnanswered rejects an opening that the upstream has not answered in time.
@@ -59,6 +60,9 @@
 		}
 		break
 	}
+	if releaseAt := a.deferralDeadline(); !releaseAt.IsZero() && (next.IsZero() || releaseAt.Before(next)) {
+		next = releaseAt
+	}
 	return next
 }
 
@@ -73,7 +77,7 @@
 func (a *Agent) dropAbandonedRequests(now time.Time) {
 	for _, held := range a.flows {
 		idle := now.Sub(held.lastPacketAt)
-		if (held.stage == stageInProgress && idle > max(abandonedRequestTimeout, held.timeBudget)) || (held.stage == stageAwaitingRequest && idle > firstRequestTimeout) {
+		if ((held.stage == stageInProgress || held.stage == stageDeferred) && idle > max(abandonedRequestTimeout, held.timeBudget)) || (held.stage == stageAwaitingRequest && idle > firstRequestTimeout) {
 			a.setStage(held, stageIdle)
 		}
 	}
@@ -105,6 +109,6 @@
 }
 
 func (a *Agent) removeFlow(key flow.Key, held *heldFlow) {
-	a.stageCounts[held.stage]--
+	a.countStage(held, -1)
 	delete(a.flows, key)
 }
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/time/rate"
 
+	"bramleyhold.example/bramleyhold/internal/admission"
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/service"
@@ -64,6 +65,8 @@
 	upstreams      map[netip.Addr]*upstreamState
 	serviceMembers map[service.Name][]*upstreamState
 	flows          map[flow.Key]*flowEntry
+	// lowestLevels has the lowest level of each service whose routes differ in priority.
+	lowestLevels map[service.Name]admission.Level
 	// timers has the timeouts of flows in the order in which they were set. A timer
 	// is obsolete if the deadline of its flow has changed.
 	timers    []flowTimer
@@ -134,7 +137,7 @@
 			b.removedRoutes[virtual] = true
 		}
 	}
-	b.desired, b.routes, b.warmUpRates = desired, routes, statedWarmUpRates(desired)
+	b.desired, b.routes, b.warmUpRates, b.lowestLevels = desired, routes, statedWarmUpRates(desired), lowestLevels(desired.Routes)
 	return true
 }
 
@@ -151,7 +154,7 @@
 	b.egress.schedule(now, first, actions, func(action *Action) egressClass {
 		route, entry := b.routes[action.Flow.Virtual], b.flows[action.Flow]
 		if action.Kind != Forward || len(action.Data) < minBulkPacketBytes || entry == nil || route == nil || route.Kind != intent.Upload {
-			return egressClass{}
+			return egressClass{rank: b.egressRank(action, route)}
 		}
 		b.uploads.countPacket(now, action.Flow, linkBytes(action))
 		return egressClass{bulk: true, openedAt: entry.createdAt}
