--- a/internal/steering/balancer_class.go
+++ b/internal/steering/balancer_class.go
@@ -18,8 +18,8 @@
 // small entry VM would delay the openings of higher levels. An upstream whose queue is full
 // has a place for an urgent request a service time later.
 const (
-	lowestAvoidTime     = 200 * time.Millisecond
-	precedenceAvoidTime = 10 * time.Millisecond
+	lowestAvoidTime     = 500 * time.Millisecond
+	precedenceAvoidTime = 25 * time.Millisecond
 )
 
 // levelOf returns the level of the route of a flow.
