admission, steering: deferral and exclusion follow the objective

Cause: requests of the feed waited for up to 180 ms, longer than their objective, and an upstream that had refused a feed got none for 500 ms from that balancer.

Change: a request is deferred for a quarter of its time budget at most, and the exclusion of the lowest level lasts for the objective of its route at most.

--- a/internal/admission/deferral.go
+++ b/internal/admission/deferral.go
@@ -7,14 +7,18 @@
 )
 
 const (
-	// MaxDeferral is how long a request is deferred at most. The upstream then serves it,
+	// maxDeferral is how long a request is deferred at most. The upstream then serves it,
 	// or rejects it at once, so that its caller can try another one. It is shorter than
 	// the first retransmission interval of callers (200 ms).
-	MaxDeferral = 180 * time.Millisecond
-	// MinBatchDeferral is how long a request must have been deferred to be delivered
-	// together with one that has been deferred for MaxDeferral. Requests that the upstream
-	// has no place for are thus delivered in batches, and places become free in between.
-	MinBatchDeferral = MaxDeferral / 2
+	maxDeferral = 180 * time.Millisecond
+	// deferralBudgetShare is the share of its own time budget that a request is deferred at
+	// most. The rest is for its work and its way.
+	deferralBudgetShare = 0.25
+	// batchDivisor is the fraction of its longest deferral that a request must have waited
+	// to be delivered together with one that has waited for all of it. Requests that the
+	// upstream has no place for are thus delivered in batches, and places become free in
+	// between.
+	batchDivisor = 2
 	// reservedPlaces is the number of places that are kept free for higher levels, besides
 	// those of the first requests that are awaited on new flows.
 	reservedPlaces = 1
@@ -47,6 +51,21 @@
 	return inProgress < load.Limit || load.expectedTime(inProgress+reservedPlaces, p.ServiceTime()) <= p.window
 }
 
+// MaxDeferral returns how long a request is deferred at most. timeBudget is the time within
+// which its caller was to be answered, or 0 if that is not known.
+func MaxDeferral(timeBudget time.Duration) time.Duration {
+	if timeBudget <= 0 {
+		return maxDeferral
+	}
+	return min(maxDeferral, share(deferralBudgetShare, timeBudget))
+}
+
+// MinBatchDeferral returns how long a request must have been deferred to be delivered in
+// the batch of another one.
+func MinBatchDeferral(timeBudget time.Duration) time.Duration {
+	return MaxDeferral(timeBudget) / batchDivisor
+}
+
 // GoesBefore reports whether a deferred request of one class is delivered before one of
 // another class that has waited for longer. Within a priority, a request that its caller
 // cannot repeat goes first.
--- a/internal/steering/agent_deferral.go
+++ b/internal/steering/agent_deferral.go
@@ -65,18 +65,19 @@
 }
 
 // releaseDeferred delivers the deferred requests that the upstream has a place for. If one
-// has waited for admission.MaxDeferral, it delivers all that have waited for half of it.
+// has waited for its longest deferral, it delivers all that have waited for a good part of
+// theirs.
 func (a *Agent) releaseDeferred(now time.Time, actions *[]Action) {
 	a.deferred = slices.DeleteFunc(a.deferred, func(r *deferredRequest) bool { return !r.isPending(a) })
 	if len(a.deferred) == 0 {
 		return
 	}
-	releaseBatch := now.Sub(a.deferred[0].arrivedAt) >= admission.MaxDeferral // The first one has waited for longest.
+	releaseBatch := !now.Before(a.deferralDeadline())
 	for {
 		next := -1
 		for i, request := range a.deferred {
-			if releaseBatch && now.Sub(request.arrivedAt) < admission.MinBatchDeferral {
-				break
+			if releaseBatch && now.Sub(request.arrivedAt) < admission.MinBatchDeferral(request.held.timeBudget) {
+				continue
 			}
 			if next < 0 || admission.GoesBefore(request.held.class, a.deferred[next].held.class) {
 				next = i
@@ -100,12 +101,14 @@
 	return r.held.deferred == r && r.held.stage == stageDeferred && a.flows[r.key] == r.held
 }
 
-// deferralDeadline returns when a deferred request must be delivered, or zero.
+// deferralDeadline returns when the next deferred request must be delivered, or zero.
 func (a *Agent) deferralDeadline() time.Time {
+	next := time.Time{}
 	for _, request := range a.deferred {
-		if request.isPending(a) {
-			return request.arrivedAt.Add(admission.MaxDeferral)
+		due := request.arrivedAt.Add(admission.MaxDeferral(request.held.timeBudget))
+		if request.isPending(a) && (next.IsZero() || due.Before(next)) {
+			next = due
 		}
 	}
-	return time.Time{}
+	return next
 }
--- a/internal/steering/balancer_class.go
+++ b/internal/steering/balancer_class.go
@@ -18,7 +18,9 @@
 // small entry VM would delay the openings of higher levels. An upstream whose queue is full
 // has a place for an urgent request a service time later.
 const (
-	lowestAvoidTime     = 500 * time.Millisecond
+	// maxLowestAvoidTime bounds the time for the lowest level, which is the objective of the
+	// route: callers with a shorter one come back sooner.
+	maxLowestAvoidTime  = 500 * time.Millisecond
 	precedenceAvoidTime = 25 * time.Millisecond
 )
 
@@ -47,7 +49,7 @@
 	avoidTime := overloadedAvoidTime
 	switch several, lowest := b.rank(entry); {
 	case lowest:
-		avoidTime = lowestAvoidTime
+		avoidTime = min(b.routes[entry.key.Virtual].Objective, maxLowestAvoidTime)
 	case several:
 		avoidTime = precedenceAvoidTime
 	}
