--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -4,8 +4,8 @@
 	"net/netip"
 	"time"
 
+	"bramleyhold.example/bramleyhold/internal/admission"
 	"bramleyhold.example/bramleyhold/internal/flow"
-	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/warmup"
 	"bramleyhold.example/bramleyhold/internal/zone"
@@ -85,6 +85,14 @@
 	pendingOpenings []pendingOpening
 	// stageCounts is the number of flows in each request stage.
 	stageCounts [stageCount]int
+	// classes decides which class gets scarce room. classLoad counts the requests by
+	// class, admissions the decisions.
+	classes    admission.Policy
+	classLoad  admission.Load
+	admissions [admission.Levels]AdmissionCounts
+	// deferred lists the requests that wait for a place at the upstream, in the order of
+	// their arrival.
+	deferred    []*deferredRequest
 	serviceTime serviceTimeEstimator
 	// learner is nil unless the agent learns the capacity of its upstream.
 	learner   *capacityLearner
@@ -153,25 +161,24 @@
 		held.established = true
 	}
 	held.balancer, held.lastPacketAt = balancer, now
-	a.trackCallerPacket(now, held, packet, header.Class)
+	a.setClass(held, &header)
+	if a.deferPacket(now, held, packet, data, actions) {
+		return
+	}
+	a.trackCallerPacket(now, held, packet)
 	*actions = append(*actions, Action{Kind: Deliver, Reason: KnownFlow, Flow: packet.Flow, Data: data})
 }
 
 // trackCallerPacket updates the state of a flow after a packet of the caller.
-func (a *Agent) trackCallerPacket(now time.Time, held *heldFlow, packet *Packet, class intent.Class) {
+func (a *Agent) trackCallerPacket(now time.Time, held *heldFlow, packet *Packet) {
 	held.callerAck = packet.Ack
 	switch {
 	case packet.Flags.Has(RST):
 		a.setStage(held, stageIdle)
 		held.finished = true
-	case packet.Payload > 0 && held.stage != stageInProgress:
-		if held.stage != stageAwaitingRequest {
-			a.warmUp.RecordRequest(now)
-		}
-		held.requestStartedAt, held.measureServiceTime = now, a.stageCounts[stageInProgress] < a.upstream.Slots
-		a.setStage(held, stageInProgress)
-		a.learner.beginRequest(now, held, class)
-	case packet.Payload > 0:
+	case packet.Payload > 0 && held.stage != stageInProgress && !held.hasSeen(packet.Sequence):
+		a.startRequest(now, held, packet.Sequence)
+	case packet.Payload > 0 && held.stage == stageInProgress:
 		a.learner.continueRequest(now, held)
 	}
 	if packet.Flags.Has(FIN) {
--- a/internal/steering/agent_expiry.go
+++ b/internal/steering/agent_expiry.go
@@ -8,7 +8,7 @@
 )
 
 // Tick rejects openings that the upstream has not answered in time, and removes
-// expired flows.
+// expired flows. It delivers deferred requests that have waited for long enough.
 func (a *Agent) Tick(now time.Time, actions *[]Action) {
 	a.noteCall(now)
 	for len(a.pendingOpenings) > 0 && now.Sub(a.pendingOpenings[0].deliveredAt) >= upstreamAnswerTimeout {
@@ -20,6 +20,7 @@
 	if !a.nextSweep.IsZero() && !now.Before(a.nextSweep) {
 		a.removeExpired(now)
 	}
+	a.releaseDeferred(now, actions)
 }
 
 // rejectUnanswered rejects an opening that the upstream has not answered in time.
@@ -61,6 +62,9 @@
 		}
 		break
 	}
+	if releaseAt := a.deferralDeadline(); !releaseAt.IsZero() && (next.IsZero() || releaseAt.Before(next)) {
+		next = releaseAt
+	}
 	return next
 }
 
@@ -75,7 +79,7 @@
 func (a *Agent) dropAbandonedRequests(now time.Time) {
 	for _, held := range a.flows {
 		idle := now.Sub(held.lastPacketAt)
-		if (held.stage == stageInProgress && idle > max(abandonedRequestTimeout, held.timeBudget)) || (held.stage == stageAwaitingRequest && idle > firstRequestTimeout) {
+		if ((held.stage == stageInProgress || held.stage == stageDeferred) && idle > max(abandonedRequestTimeout, held.timeBudget)) || (held.stage == stageAwaitingRequest && idle > firstRequestTimeout) {
 			a.learner.endRequest(now, held, capacity.Silent)
 			a.setStage(held, stageIdle)
 		}
@@ -109,6 +113,6 @@
 
 func (a *Agent) removeFlow(key flow.Key, held *heldFlow) {
 	a.learner.forgetRequest(held)
-	a.stageCounts[held.stage]--
+	a.countStage(held, -1)
 	delete(a.flows, key)
 }
