capacity: lower limits are tried with four and more slots only

A trial takes a third of the slots of an upstream for up to a second while work is waiting. Upstreams with two or three slots keep their stated slots; for those a lower limit could gain little. Tests: go test ./internal/capacity ./internal/steering passed.

--- a/internal/capacity/limit_search.go
+++ b/internal/capacity/limit_search.go
@@ -14,6 +14,9 @@
 	// trial without enough of them: requests on open flows are not subject to the limit.
 	trialSamples = 12
 	trialTimeout = time.Second
+	// minTrialSlots is the number of slots from which lower limits are tried. A trial with
+	// three slots takes a third of them away, when work is already waiting.
+	minTrialSlots = 4
 	// minTrialPause is the time between a trial and the next one. It doubles after each
 	// trial without effect, up to maxTrialPause, until answers take the usual time again.
 	minTrialPause = 3 * time.Second
@@ -81,7 +84,7 @@
 	if s.limit > 0 {
 		s.adjust(now, e)
 	}
-	if e.meanLog <= e.usualLog+math.Log(strainedFactor) {
+	if e.slots < minTrialSlots || e.meanLog <= e.usualLog+math.Log(strainedFactor) {
 		s.strained, s.trialPause = 0, 0
 		return
 	}
