--- a/internal/capacity/estimator.go
+++ b/internal/capacity/estimator.go
@@ -94,12 +94,10 @@
 	// samples is the number of answer times so far, the last one at sampledAt.
 	samples   int
 	sampledAt time.Time
-	// meanLog is the recent mean of the logarithm of the answer time in seconds,
-	// classLogs the usual deviation of each class from it, and mixLog the recent mean of
-	// those deviations.
-	meanLog float64
-	// usualLog is the mean of the same over a longer time.
-	usualLog  float64
+	// meanLog is the recent mean of the logarithm of the answer time in seconds, without
+	// the usual deviations of the classes, and usualLog its mean over a longer time.
+	meanLog, usualLog float64
+	// classLogs has the usual deviation of each class, mixLog their recent mean.
 	classLogs map[intent.Class]float64
 	mixLog    float64
 	// meanConcurrency is the recent mean of the requests in progress at the start of one.
@@ -274,5 +272,8 @@
 
 // Evidence returns the number of samples and the time since the last one.
 func (e *Estimator) Evidence(now time.Time) (samples int, age time.Duration) {
+	if e.samples == 0 {
+		return 0, 0
+	}
 	return e.samples, now.Sub(e.sampledAt)
 }
--- a/internal/fabric/agent_capacity.go
+++ b/internal/fabric/agent_capacity.go
@@ -19,6 +19,9 @@
 	a.setGauge("capacity.limit", learned.Limit)
 	a.setGauge("capacity.answer_us", int(learned.Answer.Microseconds()))
 	a.setGauge("capacity.health_permille", int(learned.Health*1000))
+	if a.loggedLimit == 0 {
+		a.loggedLimit = learned.Limit
+	}
 	if learned.Limit == a.loggedLimit || now.Sub(a.limitLoggedAt) < limitLogInterval {
 		return
 	}
