steering: a rejected urgent opening does not shorten other exclusions

Cause: a rejection of an urgent opening also set the end of the exclusion for lower priorities, to an earlier time.

Change: the later end counts.

The test fails without the change and passes with it.

--- a/internal/steering/agent_class_test.go
+++ b/internal/steering/agent_class_test.go
@@ -66,6 +66,14 @@
 	packet := openingPacket(3)
 	packet.Flow.Virtual = urgent.Virtual
 	require.Equal(t, steering.Forward, b.handlePacket(packet)[0].Kind)
+
+	rejection := steering.Message{Kind: steering.OpeningRejected, Verdict: steering.Overloaded, Flow: packet.Flow, Sequence: 100}
+	b.HandleMessage(b.now, agentAddress(1), &rejection, &b.actions)
+	b.takeActions()
+	b.now = b.now.Add(100 * time.Millisecond)
+	require.Equal(t, steering.Reset, b.handlePacket(openingPacket(4))[0].Kind, "the urgent rejection does not shorten the exclusion")
+	packet.Flow.Caller = openingPacket(5).Flow.Caller
+	require.Equal(t, steering.Forward, b.handlePacket(packet)[0].Kind)
 }
 
 // Queued openings must be retried in the order of their priority, and those of callers
--- a/internal/steering/balancer_class.go
+++ b/internal/steering/balancer_class.go
@@ -16,7 +16,7 @@
 // Load pattern: most openings of the lowest level are refused for seconds. If each balancer
 // sent some to each upstream every overloadedAvoidTime, the link and the processor of a
 // small entry VM would delay the openings of higher levels. An upstream whose queue is full
-// has a place for an urgent request a service time later.
+// has a place for an urgent request after about one of its requests has ended.
 const (
 	lowestAvoidTime     = 500 * time.Millisecond
 	precedenceAvoidTime = 25 * time.Millisecond
@@ -52,7 +52,9 @@
 		avoidTime = precedenceAvoidTime
 	}
 	for level := b.levelOf(entry); level <= admission.Lowest; level++ {
-		upstream.overloadedUntil[level] = now.Add(avoidTime)
+		if until := now.Add(avoidTime); until.After(upstream.overloadedUntil[level]) {
+			upstream.overloadedUntil[level] = until
+		}
 	}
 }
 
