steering: admission by class where upstreams may be slow or fail unseen

Callers: on earlier sites, whose upstreams are not slow, a burst of three times the load was served worse with admission by class: requests of the feed waited in the agent for longer than their latency objective allows.

Change: classes decide only where the settings say that upstreams may be slow or fail unseen. A request is deferred for a quarter of the time budget of its flow at most; it is not deferred if that budget is not known.

--- a/internal/admission/deferral.go
+++ b/internal/admission/deferral.go
@@ -7,19 +7,28 @@
 )
 
 const (
-	// MaxDeferral is how long a request is deferred at most. The upstream then serves it,
-	// or rejects it at once, so that its caller can try another one. It is shorter than
-	// the first retransmission interval of callers (200 ms).
-	MaxDeferral = 180 * time.Millisecond
-	// MinBatchDeferral is how long a request must have been deferred to be delivered
-	// together with one that has been deferred for MaxDeferral. Requests that the upstream
+	// maxDeferral bounds how long a request is deferred. It is shorter than the first
+	// retransmission interval of callers (200 ms).
+	maxDeferral = 180 * time.Millisecond
+	// deferralShare is the share of the time budget of a flow for which its requests are
+	// deferred at most. The upstream then serves them, or rejects them at once, so that
+	// their callers can try another one.
+	deferralShare = 0.25
+	// BatchDivisor tells what part of its limit a request must have been deferred for to be
+	// delivered together with one that has reached the limit. Requests that the upstream
 	// has no place for are thus delivered in batches, and places become free in between.
-	MinBatchDeferral = MaxDeferral / 2
+	BatchDivisor = 2
 	// reservedPlaces is the number of places that are kept free for higher levels, besides
 	// those of the first requests that are awaited on new flows.
 	reservedPlaces = 1
 )
 
+// DeferralLimit returns how long the requests of a flow with a time budget are deferred at
+// most. The budget is zero if it is not known: they are not deferred then.
+func DeferralLimit(timeBudget time.Duration) time.Duration {
+	return min(share(deferralShare, timeBudget), maxDeferral)
+}
+
 // Defers reports whether a request that has arrived on an open flow waits beside the
 // upstream. Only those of the lowest level in use do.
 //
--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -85,7 +85,7 @@
 		maxFlowAge = defaultMaxFlowAge
 	}
 	return steering.AgentConfig{
-		Service: cfg.Service, CheckInInterval: cfg.CheckInInterval, IdleTimeout: maxFlowAge, MaxFlows: cfg.maxFlows(), StartedAt: startedAt,
+		Service: cfg.Service, CheckInInterval: cfg.CheckInInterval, IdleTimeout: maxFlowAge, MaxFlows: cfg.maxFlows(), StartedAt: startedAt, AdmitsByClass: cfg.LearnsCapacity,
 	}
 }
 
--- a/internal/fabric/config.go
+++ b/internal/fabric/config.go
@@ -63,7 +63,8 @@
 	// A cold upstream may get at most its stated rate times WarmUpOvershoot, and
 	// WarmUpSlack more, openings within any second.
 	WarmUpOvershoot, WarmUpSlack float64
-	// LearnsCapacity is set if agents learn how many requests their upstream takes well.
+	// LearnsCapacity is set if agents learn how many requests their upstream takes well, and
+	// classes decide which requests get the room that is left.
 	LearnsCapacity bool
 	// DataFolder is empty on a VM without a disk.
 	DataFolder  string
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -36,6 +36,8 @@
 	MaxFlows int
 	// StartedAt is when this process began to receive the packets of its upstream.
 	StartedAt time.Time
+	// AdmitsByClass is set if classes decide which requests get scarce room.
+	AdmitsByClass bool
 }
 
 // Agent steers packets for the process beside one upstream.
@@ -104,6 +106,7 @@
 		a.sendRejection(packet, balancer, OtherService, actions)
 		return
 	}
+	header.ClassKnown = header.ClassKnown && a.cfg.AdmitsByClass
 	held := a.flows[packet.Flow]
 	if held != nil && held.upstreamExited && !packet.IsOpening() {
 		if !held.matchesAck(packet.Ack) {
--- a/internal/steering/agent_class_test.go
+++ b/internal/steering/agent_class_test.go
@@ -105,8 +105,8 @@
 
 func virtualOf(port uint16) netip.AddrPort { return netip.AddrPortFrom(virtual.Addr(), port) }
 
-// A deferred request must be delivered when the upstream has a place or after
-// admission.MaxDeferral, and not at all if its caller has given up. Copies of it must not
+// A deferred request must be delivered when the upstream has a place or after a
+// quarter of its time budget, and not at all if its caller has given up. Copies of it must not
 // be delivered.
 func TestDeferredRequestIsDelivered(t *testing.T) {
 	a := newReadyAgent(t)
@@ -139,7 +139,7 @@
 	require.Equal(t, flowKey(3), actions[1].Flow)
 	require.Equal(t, steering.Deferred, actions[1].Reason)
 
-	require.Equal(t, start.Add(admission.MaxDeferral), a.Deadline())
+	require.Equal(t, start.Add(admission.DeferralLimit(timeBudget)), a.Deadline())
 	a.now = a.Deadline()
 	a.Tick(a.now, &a.actions)
 	actions = a.takeActions()
--- a/internal/steering/agent_deferral.go
+++ b/internal/steering/agent_deferral.go
@@ -21,7 +21,9 @@
 	key       flow.Key
 	held      *heldFlow
 	arrivedAt time.Time
-	packets   []deferredPacket
+	// limit is how long the request is deferred at most.
+	limit   time.Duration
+	packets []deferredPacket
 }
 
 type deferredPacket struct {
@@ -36,12 +38,13 @@
 		return a.extendDeferred(held, packet, data, actions)
 	}
 	startsRequest := packet.Payload > 0 && held.stage != stageInProgress && held.classKnown && !held.hasSeen(packet.Sequence)
-	if !startsRequest || !a.classes.Defers(now, held.class, a.currentLoad()) {
+	limit := admission.DeferralLimit(held.timeBudget)
+	if !startsRequest || limit <= 0 || !a.classes.Defers(now, held.class, a.currentLoad()) {
 		return false
 	}
 	a.admissions[held.level].Deferred++
 	held.callerAck = packet.Ack
-	held.deferred = &deferredRequest{key: packet.Flow, held: held, arrivedAt: now}
+	held.deferred = &deferredRequest{key: packet.Flow, held: held, arrivedAt: now, limit: limit}
 	a.deferred = append(a.deferred, held.deferred)
 	a.setStage(held, stageDeferred)
 	return a.extendDeferred(held, packet, data, actions)
@@ -65,18 +68,18 @@
 }
 
 // releaseDeferred delivers the deferred requests that the upstream has a place for. If one
-// has waited for admission.MaxDeferral, it delivers all that have waited for half of it.
+// has reached its limit, it delivers all that have waited for half of theirs.
 func (a *Agent) releaseDeferred(now time.Time, actions *[]Action) {
 	a.deferred = slices.DeleteFunc(a.deferred, func(r *deferredRequest) bool { return !r.isPending(a) })
 	if len(a.deferred) == 0 {
 		return
 	}
-	releaseBatch := now.Sub(a.deferred[0].arrivedAt) >= admission.MaxDeferral // The first one has waited for longest.
+	releaseBatch := slices.ContainsFunc(a.deferred, func(r *deferredRequest) bool { return now.Sub(r.arrivedAt) >= r.limit })
 	for {
 		next := -1
 		for i, request := range a.deferred {
-			if releaseBatch && now.Sub(request.arrivedAt) < admission.MinBatchDeferral {
-				break
+			if releaseBatch && now.Sub(request.arrivedAt) < request.limit/admission.BatchDivisor {
+				continue
 			}
 			if next < 0 || admission.GoesBefore(request.held.class, a.deferred[next].held.class) {
 				next = i
@@ -102,10 +105,11 @@
 
 // deferralDeadline returns when a deferred request must be delivered, or zero.
 func (a *Agent) deferralDeadline() time.Time {
+	var next time.Time
 	for _, request := range a.deferred {
-		if request.isPending(a) {
-			return request.arrivedAt.Add(admission.MaxDeferral)
+		if due := request.arrivedAt.Add(request.limit); request.isPending(a) && (next.IsZero() || due.Before(next)) {
+			next = due
 		}
 	}
-	return time.Time{}
+	return next
 }
--- a/internal/steering/agent_test.go
+++ b/internal/steering/agent_test.go
@@ -65,7 +65,7 @@
 
 func newAgentHarness(t *testing.T) *agentHarness {
 	return &agentHarness{t: t, now: start, Agent: steering.NewAgent(steering.AgentConfig{
-		Service: orders, CheckInInterval: time.Second, IdleTimeout: 20 * time.Second, MaxFlows: 100, StartedAt: start,
+		Service: orders, CheckInInterval: time.Second, IdleTimeout: 20 * time.Second, MaxFlows: 100, StartedAt: start, AdmitsByClass: true,
 	})}
 }
 
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -48,7 +48,9 @@
 	MaxFlows int
 	// LinkBitsPerSecond is the rate of the VM's link, or zero if it is unknown.
 	LinkBitsPerSecond float64
-	Random            *rand.Rand
+	// AdmitsByClass is set if classes decide which requests get scarce room.
+	AdmitsByClass bool
+	Random        *rand.Rand
 }
 
 // Balancer steers packets of callers for one process on an entry VM.
@@ -132,7 +134,10 @@
 			b.removedRoutes[virtual] = true
 		}
 	}
-	b.desired, b.routes, b.lowestLevels = desired, routes, lowestLevels(desired.Routes)
+	b.desired, b.routes = desired, routes
+	if b.cfg.AdmitsByClass {
+		b.lowestLevels = lowestLevels(desired.Routes)
+	}
 	return true
 }
 
--- a/internal/steering/balancer_class.go
+++ b/internal/steering/balancer_class.go
@@ -24,7 +24,7 @@
 
 // levelOf returns the level of the route of a flow.
 func (b *Balancer) levelOf(entry *flowEntry) admission.Level {
-	if route := b.routes[entry.key.Virtual]; route != nil {
+	if route := b.routes[entry.key.Virtual]; route != nil && b.cfg.AdmitsByClass {
 		return admission.LevelOf(route.Class())
 	}
 	return admission.Lowest
--- a/internal/steering/balancer_test.go
+++ b/internal/steering/balancer_test.go
@@ -50,7 +50,7 @@
 
 func newBalancerHarness(t *testing.T, upstreams ...steering.Upstream) *balancerHarness {
 	b := &balancerHarness{t: t, now: start, lastLookups: map[int]steering.Message{}, lookupIDs: map[uint32]bool{}, Balancer: steering.NewBalancer(steering.BalancerConfig{
-		Zone: ownZone, MaxFlows: 1000, Random: rand.New(rand.NewPCG(1, 2)),
+		Zone: ownZone, MaxFlows: 1000, AdmitsByClass: true, Random: rand.New(rand.NewPCG(1, 2)),
 	})}
 	b.SetDesired(newDesired(1, intent.WeightedService{Service: orders, Weight: 1}))
 	b.SetUpstreams(upstreams, true)
--- a/internal/steering/class_load_test.go
+++ b/internal/steering/class_load_test.go
@@ -119,14 +119,14 @@
 		listed := newUpstream(i, orders, ownZone, view.Ready)
 		listed.Slots = loadSlots
 		list = append(list, listed)
-		agent := steering.NewAgent(steering.AgentConfig{Service: orders, CheckInInterval: time.Second, IdleTimeout: time.Minute, MaxFlows: 10_000, StartedAt: start})
+		agent := steering.NewAgent(steering.AgentConfig{Service: orders, CheckInInterval: time.Second, IdleTimeout: time.Minute, MaxFlows: 10_000, StartedAt: start, AdmitsByClass: true})
 		checkIn := newCheckIn(1, 0, view.Ready)
 		checkIn.Slots = loadSlots
 		agent.HandleCheckIn(start, checkIn, new([]steering.Action))
 		l.upstreams[agentAddress(i)] = &loadUpstream{agent: agent, slow: i%3 == 0}
 	}
 	for i := range 4 {
-		b := steering.NewBalancer(steering.BalancerConfig{Zone: ownZone, MaxFlows: 10_000, Random: rand.New(rand.NewPCG(uint64(i), 2))})
+		b := steering.NewBalancer(steering.BalancerConfig{Zone: ownZone, MaxFlows: 10_000, AdmitsByClass: true, Random: rand.New(rand.NewPCG(uint64(i), 2))})
 		b.SetDesired(desired)
 		b.SetUpstreams(list, true)
 		l.balancers = append(l.balancers, b)
--- a/internal/steering/egress_test.go
+++ b/internal/steering/egress_test.go
@@ -56,7 +56,7 @@
 func newLinkHarness(t *testing.T, bitsPerSecond float64) *linkHarness {
 	b := newBalancerHarness(t)
 	b.Balancer = steering.NewBalancer(steering.BalancerConfig{
-		Zone: ownZone, MaxFlows: 1000, Random: rand.New(rand.NewPCG(1, 2)), LinkBitsPerSecond: bitsPerSecond,
+		Zone: ownZone, MaxFlows: 1000, Random: rand.New(rand.NewPCG(1, 2)), LinkBitsPerSecond: bitsPerSecond, AdmitsByClass: true,
 	})
 	desired := newDesired(1, intent.WeightedService{Service: orders, Weight: 1})
 	desired.Routes = append(desired.Routes, desired.Routes[0])
