--- a/internal/admission/deferral.go
+++ b/internal/admission/deferral.go
@@ -7,23 +7,28 @@
 )
 
 const (
-	// maxDeferral is how long a request is deferred at most. The upstream then serves it,
-	// or rejects it at once, so that its caller can try another one. It is shorter than
-	// the first retransmission interval of callers (200 ms).
+	// maxDeferral bounds how long a request is deferred. It is shorter than the first
+	// retransmission interval of callers (200 ms).
 	maxDeferral = 180 * time.Millisecond
-	// deferralBudgetShare is the share of its own time budget that a request is deferred at
-	// most. The rest is for its work and its way.
-	deferralBudgetShare = 0.25
-	// batchDivisor is the fraction of its longest deferral that a request must have waited
-	// to be delivered together with one that has waited for all of it. Requests that the
-	// upstream has no place for are thus delivered in batches, and places become free in
-	// between.
-	batchDivisor = 2
+	// deferralShare is the share of the time budget of a flow for which its requests are
+	// deferred at most. The upstream then serves them, or rejects them at once, so that
+	// their callers can try another one.
+	deferralShare = 0.25
+	// BatchDivisor tells what part of its limit a request must have been deferred for to be
+	// delivered together with one that has reached the limit. Requests that the upstream
+	// has no place for are thus delivered in batches, and places become free in between.
+	BatchDivisor = 2
 	// reservedPlaces is the number of places that are kept free for higher levels, besides
 	// those of the first requests that are awaited on new flows.
 	reservedPlaces = 1
 )
 
+// DeferralLimit returns how long the requests of a flow with a time budget are deferred at
+// most. The budget is zero if it is not known: they are not deferred then.
+func DeferralLimit(timeBudget time.Duration) time.Duration {
+	return min(share(deferralShare, timeBudget), maxDeferral)
+}
+
 // Defers reports whether a request that has arrived on an open flow waits beside the
 // upstream. Only those of the lowest level in use do.
 //
@@ -51,21 +56,6 @@
 	return inProgress < load.Limit || load.expectedTime(inProgress+reservedPlaces, p.ServiceTime()) <= p.window
 }
 
-// MaxDeferral returns how long a request is deferred at most. timeBudget is the time within
-// which its caller was to be answered, or 0 if that is not known.
-func MaxDeferral(timeBudget time.Duration) time.Duration {
-	if timeBudget <= 0 {
-		return maxDeferral
-	}
-	return min(maxDeferral, share(deferralBudgetShare, timeBudget))
-}
-
-// MinBatchDeferral returns how long a request must have been deferred to be delivered in
-// the batch of another one.
-func MinBatchDeferral(timeBudget time.Duration) time.Duration {
-	return MaxDeferral(timeBudget) / batchDivisor
-}
-
 // GoesBefore reports whether a deferred request of one class is delivered before one of
 // another class that has waited for longer. Within a priority, a request that its caller
 // cannot repeat goes first.
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -49,6 +49,8 @@
 	TermsAlwaysSent bool
 	// LearnsCapacity is set if the agent learns how many requests its upstream takes well.
 	LearnsCapacity bool
+	// AdmitsByClass is set if classes decide which requests get scarce room.
+	AdmitsByClass bool
 }
 
 // Agent steers packets for the process beside one upstream.
@@ -135,6 +137,7 @@
 		return
 	}
 	a.learner.notePacket(now, balancer)
+	header.ClassKnown = header.ClassKnown && a.cfg.AdmitsByClass
 	held := a.flows[packet.Flow]
 	if held != nil && held.upstreamExited && !packet.IsOpening() {
 		if !held.matchesAck(packet.Ack) {
--- a/internal/steering/agent_class_test.go
+++ b/internal/steering/agent_class_test.go
@@ -66,6 +66,14 @@
 	packet := openingPacket(3)
 	packet.Flow.Virtual = urgent.Virtual
 	require.Equal(t, steering.Forward, b.handlePacket(packet)[0].Kind)
+
+	rejection := steering.Message{Kind: steering.OpeningRejected, Verdict: steering.Overloaded, Flow: packet.Flow, Sequence: 100}
+	b.HandleMessage(b.now, agentAddress(1), &rejection, &b.actions)
+	b.takeActions()
+	b.now = b.now.Add(100 * time.Millisecond)
+	require.Equal(t, steering.Reset, b.handlePacket(openingPacket(4))[0].Kind, "the urgent rejection does not shorten the exclusion")
+	packet.Flow.Caller = openingPacket(5).Flow.Caller
+	require.Equal(t, steering.Forward, b.handlePacket(packet)[0].Kind)
 }
 
 // Queued openings must be retried in the order of their priority, and those of callers
@@ -97,8 +105,8 @@
 
 func virtualOf(port uint16) netip.AddrPort { return netip.AddrPortFrom(virtual.Addr(), port) }
 
-// A deferred request must be delivered when the upstream has a place or after
-// its longest deferral, and not at all if its caller has given up. Copies of it must not
+// A deferred request must be delivered when the upstream has a place or after a
+// quarter of its time budget, and not at all if its caller has given up. Copies of it must not
 // be delivered.
 func TestDeferredRequestIsDelivered(t *testing.T) {
 	a := newReadyAgent(t)
@@ -131,7 +139,7 @@
 	require.Equal(t, flowKey(3), actions[1].Flow)
 	require.Equal(t, steering.Deferred, actions[1].Reason)
 
-	require.Equal(t, start.Add(admission.MaxDeferral(headerOf(2).TimeBudget)), a.Deadline())
+	require.Equal(t, start.Add(admission.DeferralLimit(timeBudget)), a.Deadline())
 	a.now = a.Deadline()
 	a.Tick(a.now, &a.actions)
 	actions = a.takeActions()
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -48,7 +48,9 @@
 	MaxFlows int
 	// LinkBitsPerSecond is the rate of the VM's link, or zero if it is unknown.
 	LinkBitsPerSecond float64
-	Random            *rand.Rand
+	// AdmitsByClass is set if classes decide which requests get scarce room.
+	AdmitsByClass bool
+	Random        *rand.Rand
 }
 
 // Balancer steers packets of callers for one process on an entry VM.
@@ -140,7 +142,10 @@
 			b.removedRoutes[virtual] = true
 		}
 	}
-	b.desired, b.routes, b.warmUpRates, b.lowestLevels = desired, routes, statedWarmUpRates(desired), lowestLevels(desired.Routes)
+	b.desired, b.routes, b.warmUpRates = desired, routes, statedWarmUpRates(desired)
+	if b.cfg.AdmitsByClass {
+		b.lowestLevels = lowestLevels(desired.Routes)
+	}
 	return true
 }
 
--- a/internal/steering/balancer_class.go
+++ b/internal/steering/balancer_class.go
@@ -16,7 +16,7 @@
 // Load pattern: most openings of the lowest level are refused for seconds. If each balancer
 // sent some to each upstream every overloadedAvoidTime, the link and the processor of a
 // small entry VM would delay the openings of higher levels. An upstream whose queue is full
-// has a place for an urgent request a service time later.
+// has a place for an urgent request after about one of its requests has ended.
 const (
 	// maxLowestAvoidTime bounds the time for the lowest level, which is the objective of the
 	// route: callers with a shorter one come back sooner.
@@ -26,7 +26,7 @@
 
 // levelOf returns the level of the route of a flow.
 func (b *Balancer) levelOf(entry *flowEntry) admission.Level {
-	if route := b.routes[entry.key.Virtual]; route != nil {
+	if route := b.routes[entry.key.Virtual]; route != nil && b.cfg.AdmitsByClass {
 		return admission.LevelOf(route.Class())
 	}
 	return admission.Lowest
@@ -54,7 +54,9 @@
 		avoidTime = precedenceAvoidTime
 	}
 	for level := b.levelOf(entry); level <= admission.Lowest; level++ {
-		upstream.overloadedUntil[level] = now.Add(avoidTime)
+		if until := now.Add(avoidTime); until.After(upstream.overloadedUntil[level]) {
+			upstream.overloadedUntil[level] = until
+		}
 	}
 }
 
