--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -40,6 +40,7 @@
 	outboundConn *net.UDPConn
 	// actionCounters counts actions by kind and reason.
 	actionCounters actionCounters
+	admissions     admissionReport
 	stopping       bool
 	// rejections counts rejected openings by verdict.
 	rejections rejectionCounters
@@ -47,6 +48,10 @@
 	awaitsTerms bool
 	// reportedWarmUp is the state of the warm-up in the last log line about it.
 	reportedWarmUp steering.WarmUpStatus
+	// loggedLimit is the learned limit in the last log line about it, written at
+	// limitLoggedAt.
+	loggedLimit   int
+	limitLoggedAt time.Time
 }
 
 // NewAgent opens the sockets of an agent. Run processes packets.
@@ -74,6 +79,8 @@
 		a.setGauge("requests", requests)
 		a.updateAwaitsTerms(now, false)
 		a.reportWarmUp(now)
+		a.publishCapacity(now)
+		a.reportAdmissions(now)
 	}
 	shared.nextDeadline = a.core.Deadline
 	a.execute = a.executeAction
@@ -96,6 +103,8 @@
 		Service: cfg.Service, CheckInInterval: cfg.CheckInInterval, IdleTimeout: maxFlowAge, MaxFlows: cfg.maxFlows(), StartedAt: startedAt,
 		Zone: cfg.Zone, ZoneOrderBound: cfg.ZoneOrderBound,
 		WarmUpOvershoot: cfg.WarmUpOvershoot, WarmUpSlack: cfg.WarmUpSlack, TermsAlwaysSent: cfg.ZoneOrderBound > 0,
+		LearnsCapacity: cfg.LearnsCapacity,
+		AdmitsByClass:  cfg.LearnsCapacity,
 	}
 }
 
@@ -286,7 +295,7 @@
 		case kind == steering.OpeningRejected && action.Message.Verdict == steering.WarmingUp:
 			a.rejections.increment(action.Message.Verdict)
 			a.Decisions.LogRateLimited(entry)
-		case kind == steering.OpeningAccepted:
+		case kind == steering.OpeningAccepted, kind == steering.CapacityReport:
 			a.Decisions.LogRateLimited(entry)
 		case kind == steering.OpeningRejected:
 			a.rejections.increment(action.Message.Verdict)
--- a/internal/fabric/config.go
+++ b/internal/fabric/config.go
@@ -65,6 +65,8 @@
 	WarmUpOvershoot, WarmUpSlack float64
 	// LearnsCapacity is set if agents learn how many requests their upstream takes well.
 	LearnsCapacity bool
+	// AdmitsByClass is set if classes decide which requests get scarce room.
+	AdmitsByClass bool
 	// DataFolder is empty on a VM without a disk.
 	DataFolder  string
 	MemoryBytes int64
--- a/internal/steering/agent.go
+++ b/internal/steering/agent.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"bramleyhold.example/bramleyhold/internal/admission"
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/service"
 	"bramleyhold.example/bramleyhold/internal/warmup"
@@ -46,6 +47,10 @@
 	WarmUpOvershoot, WarmUpSlack float64
 	// TermsAlwaysSent is set if control sends terms also where there is nothing to tell.
 	TermsAlwaysSent bool
+	// LearnsCapacity is set if the agent learns how many requests its upstream takes well.
+	LearnsCapacity bool
+	// AdmitsByClass is set if classes decide which requests get scarce room.
+	AdmitsByClass bool
 }
 
 // Agent steers packets for the process beside one upstream.
@@ -82,8 +87,18 @@
 	pendingOpenings []pendingOpening
 	// stageCounts is the number of flows in each request stage.
 	stageCounts [stageCount]int
+	// classes decides which class gets scarce room. classLoad counts the requests by
+	// class, admissions the decisions.
+	classes    admission.Policy
+	classLoad  admission.Load
+	admissions [admission.Levels]AdmissionCounts
+	// deferred lists the requests that wait for a place at the upstream, in the order of
+	// their arrival.
+	deferred    []*deferredRequest
 	serviceTime serviceTimeEstimator
-	nextSweep   time.Time
+	// learner is nil unless the agent learns the capacity of its upstream.
+	learner   *capacityLearner
+	nextSweep time.Time
 	// terms are the latest ones received. They are valid if termsKnown is set.
 	terms       Terms
 	termsKnown  bool
@@ -105,7 +120,7 @@
 	}
 	limiter := warmup.NewLimiter(warmup.Config{Overshoot: cfg.WarmUpOvershoot, Slack: cfg.WarmUpSlack, RateUnknownUntil: cfg.StartedAt.Add(rateUnknownWait), AwaitsRate: cfg.TermsAlwaysSent})
 	limiter.AssumeFull(cfg.StartedAt)
-	return &Agent{cfg: cfg, warmUp: limiter, serviceTag: NewServiceTag(cfg.Service), flows: map[flow.Key]*heldFlow{}, unconfirmedFlows: map[flow.Key]unconfirmedFlow{}, returnedFlows: map[flow.Key]time.Time{}}
+	return &Agent{cfg: cfg, warmUp: limiter, serviceTag: NewServiceTag(cfg.Service), flows: map[flow.Key]*heldFlow{}, unconfirmedFlows: map[flow.Key]unconfirmedFlow{}, returnedFlows: map[flow.Key]time.Time{}, learner: newCapacityLearner(&cfg)}
 }
 
 // Upstream returns the last check-in and whether there was one.
@@ -118,13 +133,15 @@
 func (a *Agent) HandleBalancerPacket(now time.Time, packet *Packet, header ForwardingHeader, balancer netip.Addr, data []byte, actions *[]Action) {
 	a.noteCall(now)
 	if !header.Service.matches(a.serviceTag) {
-		a.sendRejection(packet, balancer, OtherService, actions)
+		a.sendRejection(now, packet, balancer, OtherService, actions)
 		return
 	}
+	a.learner.notePacket(now, balancer)
+	header.ClassKnown = header.ClassKnown && a.cfg.AdmitsByClass
 	held := a.flows[packet.Flow]
 	if held != nil && held.upstreamExited && !packet.IsOpening() {
 		if !held.matchesAck(packet.Ack) {
-			a.sendMessage(balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
+			a.sendMessage(now, balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
 			return
 		}
 		a.resetFlow(packet, held, actions)
@@ -141,12 +158,16 @@
 	if !held.established {
 		if !packet.Flags.Has(ACK) || !held.accepted || packet.Ack-held.answerSequence > ackWindow {
 			// The caller uses the SYN-ACK of another upstream.
-			a.sendMessage(balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
+			a.sendMessage(now, balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
 			return
 		}
 		held.established = true
 	}
 	held.balancer, held.lastPacketAt = balancer, now
+	a.setClass(held, &header)
+	if a.deferPacket(now, held, packet, data, actions) {
+		return
+	}
 	a.trackCallerPacket(now, held, packet)
 	*actions = append(*actions, Action{Kind: Deliver, Reason: KnownFlow, Flow: packet.Flow, Data: data})
 }
@@ -158,12 +179,10 @@
 	case packet.Flags.Has(RST):
 		a.setStage(held, stageIdle)
 		held.finished = true
-	case packet.Payload > 0 && held.stage != stageInProgress:
-		if held.stage != stageAwaitingRequest {
-			a.warmUp.RecordRequest(now)
-		}
-		held.requestStartedAt, held.measureServiceTime = now, a.stageCounts[stageInProgress] < a.upstream.Slots
-		a.setStage(held, stageInProgress)
+	case packet.Payload > 0 && held.stage != stageInProgress && !held.hasSeen(packet.Sequence):
+		a.startRequest(now, held, packet.Sequence)
+	case packet.Payload > 0 && held.stage == stageInProgress:
+		a.learner.continueRequest(now, held)
 	}
 	if packet.Flags.Has(FIN) {
 		held.callerFinished = true
@@ -171,7 +190,7 @@
 }
 
 // sendMessage sends a message with the current load of the upstream.
-func (a *Agent) sendMessage(to netip.Addr, message Message, reason Reason, actions *[]Action) {
-	message.Load, message.Flows = uint16(min(a.requestsInProgress(), 1<<16-1)), uint16(min(len(a.flows), 1<<16-1))
+func (a *Agent) sendMessage(now time.Time, to netip.Addr, message Message, reason Reason, actions *[]Action) {
+	message.Load, message.Flows = uint16(min(a.requestsInProgress(), 1<<16-1)), a.reportedFlows(now)
 	*actions = append(*actions, Action{Kind: SendMessage, Reason: reason, Flow: message.Flow, To: to, Message: message})
 }
--- a/internal/steering/agent_expiry.go
+++ b/internal/steering/agent_expiry.go
@@ -3,11 +3,12 @@
 import (
 	"time"
 
+	"bramleyhold.example/bramleyhold/internal/capacity"
 	"bramleyhold.example/bramleyhold/internal/flow"
 )
 
 // Tick rejects openings that the upstream has not answered in time, and removes
-// expired flows.
+// expired flows. It delivers deferred requests that have waited for long enough.
 func (a *Agent) Tick(now time.Time, actions *[]Action) {
 	a.noteCall(now)
 	for len(a.pendingOpenings) > 0 && now.Sub(a.pendingOpenings[0].deliveredAt) >= upstreamAnswerTimeout {
@@ -15,9 +16,11 @@
 		a.pendingOpenings = a.pendingOpenings[1:]
 		a.rejectUnanswered(now, pending, actions)
 	}
+	a.reportCapacity(now, actions)
 	if !a.nextSweep.IsZero() && !now.Before(a.nextSweep) {
 		a.removeExpired(now)
 	}
+	a.releaseDeferred(now, actions)
 }
 
 // rejectUnanswered rejects an opening that the upstream has not answered in time.
@@ -31,7 +34,7 @@
 	a.probeUpstream(now, pending.key, actions)
 	balancer := held.balancer
 	a.removeFlow(pending.key, held)
-	a.sendMessage(balancer, Message{Kind: OpeningRejected, Verdict: NoResponse, Flow: pending.key, Sequence: pending.sequence}, UpstreamFailed, actions)
+	a.sendMessage(now, balancer, Message{Kind: OpeningRejected, Verdict: NoResponse, Flow: pending.key, Sequence: pending.sequence}, UpstreamFailed, actions)
 }
 
 // probeUpstream requests a check that the process of the upstream exists, at most
@@ -59,6 +62,9 @@
 		}
 		break
 	}
+	if releaseAt := a.deferralDeadline(); !releaseAt.IsZero() && (next.IsZero() || releaseAt.Before(next)) {
+		next = releaseAt
+	}
 	return next
 }
 
@@ -73,7 +79,8 @@
 func (a *Agent) dropAbandonedRequests(now time.Time) {
 	for _, held := range a.flows {
 		idle := now.Sub(held.lastPacketAt)
-		if (held.stage == stageInProgress && idle > max(abandonedRequestTimeout, held.timeBudget)) || (held.stage == stageAwaitingRequest && idle > firstRequestTimeout) {
+		if ((held.stage == stageInProgress || held.stage == stageDeferred) && idle > max(abandonedRequestTimeout, held.timeBudget)) || (held.stage == stageAwaitingRequest && idle > firstRequestTimeout) {
+			a.learner.endRequest(now, held, capacity.Silent)
 			a.setStage(held, stageIdle)
 		}
 	}
@@ -105,6 +112,7 @@
 }
 
 func (a *Agent) removeFlow(key flow.Key, held *heldFlow) {
-	a.stageCounts[held.stage]--
+	a.learner.forgetRequest(held)
+	a.countStage(held, -1)
 	delete(a.flows, key)
 }
--- a/internal/steering/agent_upstream.go
+++ b/internal/steering/agent_upstream.go
@@ -2,6 +2,9 @@
 
 import (
 	"time"
+
+	"bramleyhold.example/bramleyhold/internal/admission"
+	"bramleyhold.example/bramleyhold/internal/capacity"
 )
 
 // HandleUpstreamPacket handles a packet that the upstream sent or returned.
@@ -19,6 +22,7 @@
 		a.trackUpstreamPacket(now, held, packet, actions)
 	}
 	*actions = append(*actions, Action{Kind: Reply, Reason: UpstreamReplied, Flow: packet.Flow, Data: data})
+	a.releaseDeferred(now, actions)
 }
 
 // adoptFlow adds a flow that is missing from the table because this agent restarted
@@ -31,13 +35,13 @@
 		return nil
 	}
 	a.makeRoom(now)
-	held := &heldFlow{incarnation: a.upstream.Incarnation, accepted: true, established: true, callerAck: packet.Sequence, openedAt: now, lastPacketAt: now}
+	held := &heldFlow{incarnation: a.upstream.Incarnation, accepted: true, established: true, callerAck: packet.Sequence, level: admission.Lowest, openedAt: now, lastPacketAt: now}
 	a.flows[packet.Flow] = held
-	a.stageCounts[stageIdle]++
+	a.countStage(held, 1)
 	a.scheduleSweep(now)
 	if wasUnconfirmed {
 		held.balancer = unconfirmed.balancer
-		a.sendMessage(unconfirmed.balancer, Message{Kind: FlowConfirmed, Flow: packet.Flow}, KnownFlow, actions)
+		a.sendMessage(now, unconfirmed.balancer, Message{Kind: FlowConfirmed, Flow: packet.Flow}, KnownFlow, actions)
 	}
 	return held
 }
@@ -49,18 +53,32 @@
 	if packet.Flags.Has(SYN|ACK) && !held.accepted {
 		held.accepted, held.answerSequence = true, packet.Sequence
 		a.warmUp.Answered(now)
-		a.sendMessage(held.balancer, Message{Kind: OpeningAccepted, Flow: packet.Flow, Sequence: packet.Sequence}, UpstreamReplied, actions)
+		a.sendMessage(now, held.balancer, Message{Kind: OpeningAccepted, Flow: packet.Flow, Sequence: packet.Sequence}, UpstreamReplied, actions)
 	}
 	if packet.Payload > 0 && held.stage == stageInProgress && held.measureServiceTime {
 		a.serviceTime.addSample(now.Sub(held.requestStartedAt))
 	}
+	wasInProgress, slotWasFree := held.stage == stageInProgress, held.measureServiceTime
 	if packet.Payload > 0 || packet.Flags&(FIN|RST) != 0 {
 		held.measureServiceTime = false
+		a.learner.endRequest(now, held, requestOutcome(packet))
 		a.setStage(held, stageIdle)
 	}
+	if wasInProgress && held.stage != stageInProgress {
+		a.observeAnswer(now, held, packet, slotWasFree)
+	}
 	if packet.Flags.Has(RST) || (packet.Flags.Has(FIN) && held.callerFinished) {
 		held.finished = true
 	}
+	a.reportCapacity(now, actions)
+}
+
+// requestOutcome returns how a request ended with the given packet of the upstream.
+func requestOutcome(packet *Packet) capacity.Outcome {
+	if packet.Payload == 0 {
+		return capacity.Failed
+	}
+	return capacity.Answered
 }
 
 // handleReturnedPacket handles a packet that the upstream has returned because it
@@ -75,7 +93,7 @@
 		balancer := held.balancer
 		a.warmUp.Unanswered(now)
 		a.removeFlow(packet.Flow, held)
-		a.sendRejection(packet, balancer, Refused, actions)
+		a.sendRejection(now, packet, balancer, Refused, actions)
 		a.probeUpstream(now, packet.Flow, actions)
 		return
 	}
@@ -91,7 +109,7 @@
 			a.presumeCold(now)
 		}
 		held.returnedByUpstream = true
-		a.sendMessage(held.balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
+		a.sendMessage(now, held.balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
 		return
 	}
 	if len(a.returnedFlows) < maxReturnedFlows {
@@ -103,5 +121,5 @@
 		return
 	}
 	delete(a.unconfirmedFlows, packet.Flow)
-	a.sendMessage(unconfirmed.balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
+	a.sendMessage(now, unconfirmed.balancer, Message{Kind: FlowNotFound, Flow: packet.Flow, Ack: packet.Ack}, NotHeld, actions)
 }
--- a/internal/steering/balancer.go
+++ b/internal/steering/balancer.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/time/rate"
 
+	"bramleyhold.example/bramleyhold/internal/admission"
 	"bramleyhold.example/bramleyhold/internal/flow"
 	"bramleyhold.example/bramleyhold/internal/intent"
 	"bramleyhold.example/bramleyhold/internal/service"
@@ -47,7 +48,9 @@
 	MaxFlows int
 	// LinkBitsPerSecond is the rate of the VM's link, or zero if it is unknown.
 	LinkBitsPerSecond float64
-	Random            *rand.Rand
+	// AdmitsByClass is set if classes decide which requests get scarce room.
+	AdmitsByClass bool
+	Random        *rand.Rand
 }
 
 // Balancer steers packets of callers for one process on an entry VM.
@@ -64,6 +67,8 @@
 	upstreams      map[netip.Addr]*upstreamState
 	serviceMembers map[service.Name][]*upstreamState
 	flows          map[flow.Key]*flowEntry
+	// lowestLevels has the lowest level of each service whose routes differ in priority.
+	lowestLevels map[service.Name]admission.Level
 	// timers has the timeouts of flows in the order in which they were set. A timer
 	// is obsolete if the deadline of its flow has changed.
 	timers    []flowTimer
@@ -82,6 +87,8 @@
 	// terms are the latest ones received. They are valid if termsKnown is set.
 	terms      Terms
 	termsKnown bool
+	// answerComparisons has the last comparison of the upstreams of each service.
+	answerComparisons map[service.Name]*answerComparison
 	// directoryComplete is set once the directory has listed all upstreams.
 	directoryComplete bool
 }
@@ -91,6 +98,7 @@
 	return &Balancer{
 		cfg: cfg, egress: newEgressScheduler(cfg.LinkBitsPerSecond), uploads: newUploadAdmission(), lookupLimiter: rate.NewLimiter(0, 0), lookupBatches: map[uint32]*lookupBatch{}, routes: map[netip.AddrPort]*intent.Route{}, removedRoutes: map[netip.AddrPort]bool{},
 		upstreams: map[netip.Addr]*upstreamState{}, serviceMembers: map[service.Name][]*upstreamState{}, flows: map[flow.Key]*flowEntry{},
+		answerComparisons: map[service.Name]*answerComparison{},
 	}
 }
 
@@ -135,6 +143,9 @@
 		}
 	}
 	b.desired, b.routes, b.warmUpRates = desired, routes, statedWarmUpRates(desired)
+	if b.cfg.AdmitsByClass {
+		b.lowestLevels = lowestLevels(desired.Routes)
+	}
 	return true
 }
 
@@ -151,7 +162,7 @@
 	b.egress.schedule(now, first, actions, func(action *Action) egressClass {
 		route, entry := b.routes[action.Flow.Virtual], b.flows[action.Flow]
 		if action.Kind != Forward || len(action.Data) < minBulkPacketBytes || entry == nil || route == nil || route.Kind != intent.Upload {
-			return egressClass{}
+			return egressClass{rank: b.egressRank(action, route)}
 		}
 		b.uploads.countPacket(now, action.Flow, linkBytes(action))
 		return egressClass{bulk: true, openedAt: entry.createdAt}
@@ -290,6 +301,6 @@
 		b.handleFlowNotFound(now, entry, upstream, message, actions)
 	case FlowConfirmed:
 		b.handleHolderFound(now, entry, upstream, actions)
-	case LookupRequest, LookupResponse:
+	case LookupRequest, LookupResponse, CapacityReport:
 	}
 }
--- a/internal/steering/exclusion.go
+++ b/internal/steering/exclusion.go
@@ -44,7 +44,7 @@
 		return excludedZone
 	case now.Before(upstream.warmUp.avoidUntil) || upstream.isColdAndFull(now, b.warmUpRates[upstream.Service]):
 		return excludedWarmingUp
-	case now.Before(upstream.overloadedUntil):
+	case now.Before(upstream.overloadedUntil[b.levelOf(entry)]):
 		return excludedOverloaded
 	case slices.Contains(entry.attemptedAgents, upstream.Address.Addr()):
 		return excludedAttempted
--- a/internal/steering/placement.go
+++ b/internal/steering/placement.go
@@ -37,10 +37,12 @@
 	b.setDeadline(entry, now.Add(openingResponseTimeout))
 	header := b.newForwardingHeader(entry, selected)
 	header.LastAttempt, header.TimeBudget = !hasMore, route.Objective-entry.callerWait(now)
+	placement := PlacementInfo{Load: selected.requestsInProgress + selected.openingsSinceReport, Slots: selected.Slots, Age: now.Sub(selected.reportedAt), Attempt: len(entry.attemptedAgents)}
+	b.addExpectation(now, selected, &placement)
 	*actions = append(*actions, Action{
 		Kind: Forward, Reason: reason, Flow: entry.key, To: selected.Address.Addr(), Data: entry.openingPacket,
 		Header:    header,
-		Placement: PlacementInfo{Load: selected.requestsInProgress + selected.openingsSinceReport, Slots: selected.Slots, Age: now.Sub(selected.reportedAt), Attempt: len(entry.attemptedAgents)},
+		Placement: placement,
 	})
 }
 
@@ -55,7 +57,9 @@
 	// another is any upstream other than best that may get the opening.
 	var another *upstreamState
 	bestScore := 0.0
-	members := b.serviceMembers[b.selectService(entry, route)]
+	name := b.selectService(entry, route)
+	members, comparison := b.serviceMembers[name], b.compareAnswers(now, name)
+	comparison.probes = comparison.usable && comparison.anyAvoided && len(entry.attemptedAgents) == 0 && b.cfg.Random.Float64() < probeShare
 	anyAvoided, anyOverloaded, anyWarmingUp := false, false, false
 	for _, upstream := range members {
 		if excluded := b.exclusionOf(now, upstream, entry); excluded != notExcluded {
@@ -64,7 +68,7 @@
 			anyWarmingUp = anyWarmingUp || excluded == excludedWarmingUp
 			continue
 		}
-		score := upstream.loadScore(now, b)
+		score := b.placementScore(now, upstream, comparison)
 		if best == nil || score < bestScore {
 			best, another, bestScore = upstream, best, score
 		} else {
