--- a/internal/fabric/agent.go
+++ b/internal/fabric/agent.go
@@ -104,7 +104,7 @@
 		Zone: cfg.Zone, ZoneOrderBound: cfg.ZoneOrderBound,
 		WarmUpOvershoot: cfg.WarmUpOvershoot, WarmUpSlack: cfg.WarmUpSlack, TermsAlwaysSent: cfg.ZoneOrderBound > 0,
 		LearnsCapacity: cfg.LearnsCapacity,
-		AdmitsByClass:  cfg.LearnsCapacity,
+		AdmitsByClass:  cfg.AdmitsByClass,
 	}
 }
 
--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -59,7 +59,7 @@
 	}
 	b := &Balancer{
 		packetProcessor: packetProcessor{node: shared}, packetConn: packetConn, actionCounters: newActionCounters(deps.Registry),
-		core: steering.NewBalancer(steering.BalancerConfig{Zone: cfg.Zone, MaxFlows: cfg.maxFlows(), Random: newRandom(), LinkBitsPerSecond: cfg.LinkBitsPerSecond, AdmitsByClass: cfg.LearnsCapacity}),
+		core: steering.NewBalancer(steering.BalancerConfig{Zone: cfg.Zone, MaxFlows: cfg.maxFlows(), Random: newRandom(), LinkBitsPerSecond: cfg.LinkBitsPerSecond, AdmitsByClass: cfg.AdmitsByClass}),
 	}
 	shared.onTimer = func(now time.Time) {
 		b.runDecision(now, func(out *[]steering.Action) { b.core.Tick(now, out) })
