--- a/internal/ctl/explain_placement.go
+++ b/internal/ctl/explain_placement.go
@@ -88,7 +88,7 @@
 func writePlacement(w io.Writer, explanation *steering.PlacementExplanation) {
 	printLine(w, "%s: route %q, service %q, desired state %d", explanation.Virtual, explanation.Route, explanation.Service, explanation.Version)
 	printLine(w, "outcome: %s %s", explanation.Outcome, explanation.Reason)
-	rows := [][]string{{"UPSTREAM", "AGENT", "ZONE", "STATUS", "EXCLUDED", "SCORE", "IN PROGRESS", "OWN OPENINGS", "SLOTS", "REPORT"}}
+	rows := [][]string{{"UPSTREAM", "AGENT", "ZONE", "STATUS", "EXCLUDED", "SCORE", "ANSWER", "HEALTH", "IN PROGRESS", "OWN OPENINGS", "SLOTS", "REPORT"}}
 	for i := range explanation.Upstreams {
 		u := &explanation.Upstreams[i]
 		report := "none"
@@ -97,6 +97,7 @@
 		}
 		rows = append(rows, []string{
 			string(u.VM), u.Agent.String(), u.Zone.String(), string(u.Status), u.Exclude, strconv.FormatFloat(u.Score, 'f', 2, 64),
+			fmt.Sprintf("%.0f ms", u.AnswerMillis), strconv.FormatFloat(u.Health, 'f', 2, 64),
 			strconv.Itoa(u.InProgress), strconv.Itoa(u.OwnOpenings), strconv.Itoa(u.Slots), report,
 		})
 	}
--- a/internal/steering/answer_score.go
+++ b/internal/steering/answer_score.go
@@ -133,12 +133,17 @@
 // upstream, and know the speed of the upstreams but hardly their present load. If each
 // took the fastest one, all would.
 func (u *upstreamState) answerScore(now time.Time, b *Balancer, comparison *answerComparison) float64 {
+	spread := -math.Log(max(b.cfg.Random.Float64(), math.SmallestNonzeroFloat64))
+	return u.expectedAnswerScore(now, b, comparison) * math.Pow(spread, choiceSpread)
+}
+
+// expectedAnswerScore returns the answer score without its random part.
+func (u *upstreamState) expectedAnswerScore(now time.Time, b *Balancer, comparison *answerComparison) float64 {
 	load := u.loadShare(now, b)
 	if load >= 1 {
 		load *= fullLoadFactor
 	}
-	spread := -math.Log(max(b.cfg.Random.Float64(), math.SmallestNonzeroFloat64))
-	score := u.relativeAnswer(now, comparison) * (1 + load) * math.Pow(spread, choiceSpread)
+	score := u.relativeAnswer(now, comparison) * (1 + load)
 	if u.Zone != b.cfg.Zone {
 		score *= otherZoneFactor
 	}
--- a/internal/steering/explain.go
+++ b/internal/steering/explain.go
@@ -26,6 +26,8 @@
 	// queueing.
 	Outcome string `json:"outcome"`
 	Reason  Reason `json:"reason,omitempty"`
+	// ByAnswers is set if openings are placed by expected answers.
+	ByAnswers bool `json:"by_answers"`
 	// Upstreams lists the upstreams of the service, those that can get the opening first,
 	// in the order of their scores. Equal balancers choose at random among close ones.
 	Upstreams []UpstreamExplanation `json:"upstreams"`
@@ -38,9 +40,14 @@
 	Zone    zone.ID     `json:"zone"`
 	Status  view.Status `json:"status"`
 	Exclude string      `json:"excluded,omitempty"`
-	// Score is the expected load as a share of the slots, with what counts against
-	// another zone and against a cold upstream. The lowest is selected.
+	// Score is the expected load as a share of the slots or, in an explanation with
+	// ByAnswers, the expected time of the answer as a multiple of the median. Both have what
+	// counts against another zone and against a cold upstream. The lowest is preferred.
 	Score float64 `json:"score"`
+	// AnswerMillis is the expected time of an answer in milliseconds and Health the share of
+	// requests that end well, as learned by the agent. Both are 0 if they are not known.
+	AnswerMillis float64 `json:"answer_ms,omitempty"`
+	Health       float64 `json:"health,omitempty"`
 	// InProgress is the number of requests in progress in the last report, AgeMillis the age
 	// of that report in milliseconds, or -1 if there is none. OwnOpenings are the openings
 	// that this balancer has sent since.
@@ -74,11 +81,13 @@
 	}
 	entry := &flowEntry{key: flow.Key{Caller: caller, Virtual: virtual, Protocol: packet.ProtocolTCP}, createdAt: now}
 	explanation.Route, explanation.Service = route.Name, b.selectService(entry, route)
+	comparison := b.compareAnswers(now, explanation.Service)
+	explanation.ByAnswers = comparison.usable
 	causes := map[exclusion]bool{}
 	for _, upstream := range b.serviceMembers[explanation.Service] {
 		excluded := b.exclusionOf(now, upstream, entry)
 		causes[excluded] = true
-		explanation.Upstreams = append(explanation.Upstreams, b.explainUpstream(now, upstream, excluded))
+		explanation.Upstreams = append(explanation.Upstreams, b.explainUpstream(now, upstream, excluded, comparison))
 	}
 	slices.SortFunc(explanation.Upstreams, func(a, c UpstreamExplanation) int {
 		return cmp.Or(cmp.Compare(a.Exclude, c.Exclude), cmp.Compare(a.Score, c.Score), cmp.Compare(a.VM, c.VM))
@@ -100,14 +109,18 @@
 	return explanation
 }
 
-func (b *Balancer) explainUpstream(now time.Time, upstream *upstreamState, excluded exclusion) UpstreamExplanation {
+func (b *Balancer) explainUpstream(now time.Time, upstream *upstreamState, excluded exclusion, comparison *answerComparison) UpstreamExplanation {
+	score := upstream.expectedScore(now, b)
+	if comparison.usable {
+		score = upstream.expectedAnswerScore(now, b, comparison)
+	}
 	age := int64(-1)
 	if !upstream.reportedAt.IsZero() {
 		age = now.Sub(upstream.reportedAt).Milliseconds()
 	}
 	return UpstreamExplanation{
 		VM: upstream.VM, Agent: upstream.Address.Addr(), Zone: upstream.Zone, Status: upstream.Status, Exclude: excluded.String(),
-		Score: upstream.expectedScore(now, b), InProgress: upstream.requestsInProgress, AgeMillis: age,
+		Score: score, AnswerMillis: float64(upstream.expectation.answer.Microseconds()) / 1000, Health: upstream.expectation.health, InProgress: upstream.requestsInProgress, AgeMillis: age,
 		OwnOpenings: upstream.openingsSinceReport, Slots: upstream.Slots, Cold: now.Before(upstream.WarmUpUntil),
 	}
 }
