--- a/internal/steering/explain.go
+++ b/internal/steering/explain.go
@@ -29,7 +29,7 @@
 	// ByAnswers is set if openings are placed by expected answers.
 	ByAnswers bool `json:"by_answers"`
 	// Upstreams lists the upstreams of the service, those that can get the opening first,
-	// in the order of their scores. Equal balancers choose at random among close ones.
+	// in the order of their scores. Balancers choose at random among close ones.
 	Upstreams []UpstreamExplanation `json:"upstreams"`
 }
 
