--- a/review/6/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
 for program in platform-balancer platform-agent platform-control review-2; do
   [ -x "target/$program" ] || { echo "target/$program is missing: run the build of the deploy file and review/build-2.sh"; exit 2; }
 done
-exec target/review-2 port-reuse review/6/record.txt
+exec target/review-2 port-reuse review/8/record.txt
